Take the room of an attempt once when its worker restarts

Cause: replaceHost first added the starts that may come late as strays of the new generation, then moved the attempts of the old one over. An attempt whose start was under way is both, so the move overwrote the stray: its room stayed taken until the worker's next generation, and the worker got no large task any more.

Ruled out: an attempt counted twice by the listing (strays of doubts only), and a lost end (the worker lists it and it is acknowledged).

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -337,6 +337,23 @@
 	assert.Equal(t, r.state1("f"), modeler.FlowCompleted)
 }
 
+// Guards against room that stays taken for good on a worker that has restarted
+// with a start under way: the start is both the task's newest attempt and one
+// that may come late.
+func TestRestartFreesRoom(t *testing.T) {
+	r := newRig(t, 13)
+	r.cellOf(1, 8)
+	w := r.workers["w00"]
+	r.run(time.Second)
+	r.faults = faults{silent: 1}
+	r.submit(flow("f", step(1, 8, time.Second)))
+	r.run(time.Second)
+	r.faults = faults{}
+	r.reborn(w)
+	r.run(lease)
+	assert.Equal(t, r.state1("f"), modeler.FlowCompleted)
+}
+
 // Guards against an end that is acknowledged unread: the numbers of ends begin
 // anew with each generation, so the last number of one says nothing to the
 // next. Found by the soak, seed 2.
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -201,13 +201,6 @@
 func (d *Dispatcher) replaceHost(now modeler.Reading, old *host, m modeler.Machine) {
 	fresh := d.addHost(now, m)
 	fresh.doubts = old.doubts
-	for x, at := range fresh.doubts {
-		if now.Sub(at) > doubtFor {
-			delete(fresh.doubts, x)
-			continue
-		}
-		d.addStray(now, fresh, x.task, x.attempt, "its start may come late")
-	}
 	for _, r := range old.runs {
 		if r.phase == committing {
 			d.drop(r)
@@ -221,6 +214,14 @@
 		d.move(r, fresh)
 		d.stop(now, r, "the worker has restarted")
 	}
+	// The attempts that were moved are stopped already.
+	for x, at := range fresh.doubts {
+		if now.Sub(at) > doubtFor {
+			delete(fresh.doubts, x)
+			continue
+		}
+		d.addStray(now, fresh, x.task, x.attempt, "its start may come late")
+	}
 }
 
 // departed forgets a worker that has left for good.
