Start tasks that may run twice elsewhere when their worker is silent

Cause: about a third of the urgent jobs allow several attempts of a task at once; the flag was read and not used. Their tasks on a worker that is cut off or has crashed waited for its lease, 6 or 10 s, though their work takes one.

Ruled out: shorter leases (they would end what runs on all workers in an outage of the control processes), and taking a refused connection for the worker's end (a cut may refuse, too).

After two unanswered renewals, the second without a wait of its own, the tasks of such steps are given up: their attempts are recorded as lost, keep their room, and new ones start on other workers. The first attempt that is done ends the task, also an abandoned one, also under the next leader; the others are stopped. Ends of abandoned attempts that say done or failed are committed before they are acknowledged, and a failure listed twice counts once. When a third of the workers are silent nothing is given up: that is the leader's own link.

--- /dev/null
+++ b/dispatcher/copy.go
@@ -0,0 +1,132 @@
+package dispatcher
+
+import (
+	"slices"
+
+	"goldcreststack.example/goldcreststack/modeler"
+)
+
+const (
+	// copyAfter is how many renewals in a row a worker has left unanswered when
+	// its tasks may start elsewhere: a single loss is no sign of its end.
+	copyAfter = 2
+	// blindShare is the largest part of the workers that may be silent; beyond
+	// it the leader's own links are more likely to blame.
+	blindShare = 3
+)
+
+// copySilent lets the tasks of silent workers start elsewhere, where several
+// attempts may run at once.
+func (d *Dispatcher) copySilent(now modeler.Reading) {
+	var silent []*host
+	for _, h := range d.hosts {
+		if h.silent >= copyAfter && !h.gone {
+			silent = append(silent, h)
+		}
+	}
+	if len(silent)*blindShare > len(d.hosts) {
+		return
+	}
+	for _, h := range silent {
+		for _, r := range h.runs {
+			if r.phase == committing || r.stray || r.unit == nil || !r.unit.step.Copied() {
+				continue
+			}
+			switch {
+			case !r.abandoned:
+				d.abandon(now, r)
+			case d.runs[r.task] == r:
+				delete(d.runs, r.task)
+				r.unit.refresh()
+			}
+		}
+	}
+}
+
+// abandon lets the task of an attempt start elsewhere.
+func (d *Dispatcher) abandon(now modeler.Reading, r *run) {
+	d.logTask("task copied", r.task, r.attempt, r.host.machine.ID, "percent", r.percent, "failures", r.host.silent, "heard", now.Sub(r.host.heard).String())
+	d.noteAbandoned(r)
+	// The end that is proposed needs an entry of its own, since the attempt
+	// may still come to another one.
+	d.runs[r.task] = &run{task: r.task, attempt: r.attempt, host: r.host, unit: r.unit, phase: ending}
+	d.out.Ends = append(d.out.Ends, modeler.FlowEnd{Task: r.task, Attempt: r.attempt, Kind: modeler.EndLost, Saved: r.saved})
+}
+
+func (d *Dispatcher) noteAbandoned(r *run) {
+	r.abandoned = true
+	d.abandoned[r.task] = append(d.abandoned[r.task], r)
+}
+
+func (d *Dispatcher) dropAbandoned(r *run) {
+	rest := slices.DeleteFunc(d.abandoned[r.task], func(other *run) bool { return other == r })
+	if len(rest) == 0 {
+		delete(d.abandoned, r.task)
+		return
+	}
+	d.abandoned[r.task] = rest
+}
+
+// findAbandoned takes over an attempt that an earlier leader has abandoned.
+func (d *Dispatcher) findAbandoned(now modeler.Reading, h *host, task modeler.FlowTask, attempt modeler.Attempt) *run {
+	other := d.runs[task]
+	start := modeler.FlowStart{Task: task, Attempt: attempt, Worker: h.machine.ID, Generation: h.machine.Generation}
+	r := d.addRun(now, start, h, restored)
+	d.noteAbandoned(r)
+	if other != nil {
+		d.runs[task] = other
+	} else {
+		r.unit.refresh()
+	}
+	return r
+}
+
+// keepAbandoned lets an abandoned attempt that still runs stand for its task
+// while no newer one was made.
+func (d *Dispatcher) keepAbandoned(r *run) {
+	if r.abandoned && !r.stopping && d.runs[r.task] == nil && r.unit != nil {
+		d.runs[r.task] = r
+		r.unit.refresh()
+	}
+}
+
+// counts reports whether an end of an abandoned attempt ends its task, or
+// uses up an attempt.
+func (d *Dispatcher) counts(task modeler.FlowTask, kind modeler.EndKind) bool {
+	return (kind == modeler.EndDone || kind == modeler.EndFailed) && d.state.Awaits(task)
+}
+
+// endAbandoned proposes the end of an abandoned attempt if it counts.
+func (d *Dispatcher) endAbandoned(r *run, kind modeler.EndKind, saved modeler.Checkpoint) {
+	if r.unit != nil {
+		defer r.unit.refresh()
+	}
+	if !d.counts(r.task, kind) {
+		return
+	}
+	r.phase = ending
+	if d.runs[r.task] == nil {
+		d.runs[r.task] = r
+	} else {
+		d.late[trial{r.task, r.attempt}] = r
+	}
+	d.out.Ends = append(d.out.Ends, modeler.FlowEnd{Task: r.task, Attempt: r.attempt, Kind: kind, Saved: saved})
+}
+
+// proposed returns the attempt whose end is proposed, or nil.
+func (d *Dispatcher) proposed(task modeler.FlowTask, attempt modeler.Attempt) *run {
+	if r := d.runs[task]; r != nil && r.attempt == attempt && r.phase == ending {
+		return r
+	}
+	return d.late[trial{task, attempt}]
+}
+
+// stopCopies stops the other attempts of a task that is done.
+func (d *Dispatcher) stopCopies(now modeler.Reading, task modeler.FlowTask) {
+	if r := d.runs[task]; r != nil {
+		d.stop(now, r, "another attempt is done")
+	}
+	for _, r := range d.abandoned[task] {
+		d.stop(now, r, "another attempt is done")
+	}
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -166,9 +166,13 @@
 	// order holds the units by priority and due time.
 	order []*unit
 	// flows holds the units of each flow that goes on.
-	flows  map[modeler.FlowID][]*unit
-	runs   map[modeler.FlowTask]*run
-	queues map[modeler.QueueID]*queueView
+	flows map[modeler.FlowID][]*unit
+	// runs holds the newest attempt of each task, abandoned the earlier ones
+	// that may still run, and late those of them whose end is proposed.
+	runs      map[modeler.FlowTask]*run
+	abandoned map[modeler.FlowTask][]*run
+	late      map[trial]*run
+	queues    map[modeler.QueueID]*queueView
 	// slowdowns is the range over the queues whose flows were seen.
 	slowdowns slowdowns
 	out       Output
@@ -199,17 +203,19 @@
 		settings.Log = func(string, ...any) {}
 	}
 	d := &Dispatcher{
-		state:    state,
-		settings: settings,
-		term:     term,
-		began:    now,
-		stamp:    stamp,
-		hosts:    make(map[modeler.WorkerID]*host),
-		units:    make(map[modeler.StepKey]*unit),
-		flows:    make(map[modeler.FlowID][]*unit),
-		runs:     make(map[modeler.FlowTask]*run),
-		queues:   make(map[modeler.QueueID]*queueView),
-		changed:  true,
+		state:     state,
+		settings:  settings,
+		term:      term,
+		began:     now,
+		stamp:     stamp,
+		hosts:     make(map[modeler.WorkerID]*host),
+		units:     make(map[modeler.StepKey]*unit),
+		flows:     make(map[modeler.FlowID][]*unit),
+		runs:      make(map[modeler.FlowTask]*run),
+		abandoned: make(map[modeler.FlowTask][]*run),
+		late:      make(map[trial]*run),
+		queues:    make(map[modeler.QueueID]*queueView),
+		changed:   true,
 	}
 	for id := range state.Workers() {
 		d.noteWorker(now, id)
@@ -249,6 +255,7 @@
 	for _, h := range d.hosts {
 		d.tickHost(now, h)
 	}
+	d.copySilent(now)
 	d.wakeUnits(now)
 	d.changed = true
 }
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -61,8 +61,8 @@
 	doubtFor = 30 * time.Second
 )
 
-// doubt names an attempt whose start got no answer.
-type doubt struct {
+// trial names an attempt of a task.
+type trial struct {
 	task    modeler.FlowTask
 	attempt modeler.Attempt
 }
@@ -107,7 +107,7 @@
 	probing bool
 	// doubts are starts without an answer; a new generation under the same
 	// name could still carry them out.
-	doubts map[doubt]modeler.Reading
+	doubts map[trial]modeler.Reading
 	// named counts the questions under way that name the worker.
 	named int
 	// speed is how fast it works.
@@ -171,7 +171,7 @@
 	h := &host{
 		machine: m,
 		runs:    make(map[modeler.FlowTask]*run),
-		doubts:  make(map[doubt]modeler.Reading),
+		doubts:  make(map[trial]modeler.Reading),
 		slow:    make(map[modeler.FlowTask]modeler.Reading),
 		slowed:  make(map[modeler.FlowTask]bool),
 		heard:   now,
@@ -318,7 +318,10 @@
 	}
 	if h.known && len(h.runs) > 0 {
 		o.Deadline = d.deadline(now, h)
-		o.Wait = d.wait(now)
+		// Whether a silent worker has come back is to be known at once.
+		if h.silent == 0 {
+			o.Wait = d.wait(now)
+		}
 	}
 	h.renewing = true
 	d.send(o)
@@ -444,6 +447,9 @@
 
 func (d *Dispatcher) listedRunning(now modeler.Reading, h *host, e *Running) {
 	r := h.runs[e.Task]
+	if r == nil && d.state.Awaits(e.Task) {
+		r = d.findAbandoned(now, h, e.Task, e.Attempt)
+	}
 	if r == nil {
 		d.addStray(now, h, e.Task, e.Attempt, "nobody waits for it")
 		return
@@ -467,6 +473,7 @@
 		r.percent = e.Percent
 		r.moved = now
 	}
+	d.keepAbandoned(r)
 	d.judgeProgress(now, h, r)
 }
 
@@ -477,11 +484,17 @@
 	}
 	h.noted = e.Number
 	r := h.runs[e.Task]
-	if r != nil && r.stray && r.attempt == e.Attempt {
+	if r != nil && r.attempt != e.Attempt {
+		r = nil
+	}
+	if r != nil && (r.stray || r.abandoned && !d.counts(e.Task, e.Kind)) {
 		d.end(r, e.Kind, "")
 		r = nil
 	}
-	if r == nil || r.attempt != e.Attempt || r.phase == committing {
+	if r == nil && d.counts(e.Task, e.Kind) {
+		r = &run{task: e.Task, attempt: e.Attempt, host: h, unit: d.units[e.Task.Unit()], phase: running, abandoned: true}
+	}
+	if r == nil || r.phase == committing {
 		// Nobody waits for it, so it is acknowledged without an entry.
 		if h.ending == 0 {
 			h.cursor = h.noted
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -162,7 +162,7 @@
 	lowest := math.Inf(1)
 	need := charge(u.step)
 	consider := func(h *host) {
-		if rack != "" && h.machine.Rack != rack || !d.fits(now, u, h, need) {
+		if rack != "" && h.machine.Rack != rack || h.runs[u.task(index)] != nil || !d.fits(now, u, h, need) {
 			return
 		}
 		score := d.score(u, h)
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -72,6 +72,12 @@
 	// because their start came late. They take room and hold up the next
 	// attempt until a stop of them is certain.
 	stray bool
+	// abandoned attempts run on or may do so while their task may start
+	// elsewhere. They take room until their end is known; the first attempt that
+	// is done ends the task.
+	abandoned bool
+	// joined means that it ran before this leader knew of it.
+	joined bool
 	// pacing means that an order to change the share has no answer yet.
 	pacing bool
 }
@@ -147,6 +153,9 @@
 	if d.runs[r.task] == r {
 		delete(d.runs, r.task)
 	}
+	if r.abandoned {
+		d.dropAbandoned(r)
+	}
 	if r.phase == committing {
 		d.committing--
 		if r.unit != nil {
@@ -177,6 +186,10 @@
 		saved = r.saved
 	}
 	d.drop(r)
+	if r.abandoned {
+		d.endAbandoned(r, kind, saved)
+		return
+	}
 	if r.stray {
 		if r.unit != nil {
 			r.unit.refresh()
@@ -196,8 +209,7 @@
 		return
 	}
 	for _, e := range ends {
-		r := d.runs[e.Task]
-		if r != nil && r.attempt == e.Attempt && r.phase == ending {
+		if r := d.proposed(e.Task, e.Attempt); r != nil {
 			d.forget(r)
 		}
 	}
@@ -206,7 +218,10 @@
 // forget drops an attempt whose end is committed. Once no listed end of a
 // worker is left to commit, the next renewal acknowledges them all.
 func (d *Dispatcher) forget(r *run) {
-	delete(d.runs, r.task)
+	if d.runs[r.task] == r {
+		delete(d.runs, r.task)
+	}
+	delete(d.late, trial{r.task, r.attempt})
 	if !r.listed {
 		return
 	}
@@ -240,7 +255,7 @@
 	switch h := r.host; {
 	case h.gone || d.hosts[h.machine.ID] != h || h.machine.Leaving:
 		d.end(r, modeler.EndUnstarted, "")
-	case r.unit == nil:
+	case r.unit == nil || !r.unit.flow.Placed(r.task):
 		d.end(r, modeler.EndUnstarted, "")
 	default:
 		d.sendStart(now, r)
@@ -273,6 +288,7 @@
 
 // confirm notes that the worker runs the attempt.
 func (d *Dispatcher) confirm(now modeler.Reading, r *run) {
+	r.joined = r.phase == restored
 	r.phase = running
 	r.began = now
 	r.moved = now
@@ -308,7 +324,7 @@
 	}
 	r := h.runs[o.Task]
 	if o.Kind == Start && a.Fate == Silent {
-		h.doubts[doubt{o.Task, o.Attempt}] = now
+		h.doubts[trial{o.Task, o.Attempt}] = now
 	}
 	if a.Fate != Accepted && (o.Kind == Start || a.Fate != Unsent && a.Fate != Silent) {
 		d.logTask("order not accepted", o.Task, o.Attempt, o.Worker, "order", o.Kind.String(), "fate", a.Fate.String())
@@ -394,7 +410,7 @@
 	case r.phase == starting && h.silent > 0:
 		// If it has restarted, its next generation would carry the start out.
 	case r.phase == starting && now.Sub(r.sent) >= resend:
-		if d.startHopeless(now, h, r) {
+		if r.abandoned || d.startHopeless(now, h, r) {
 			d.stop(now, r, "the start got no answer")
 			return
 		}
@@ -437,14 +453,17 @@
 
 // ended follows a committed end.
 func (d *Dispatcher) ended(now modeler.Reading, e modeler.FlowEnd) {
-	r := d.runs[e.Task]
-	if r != nil && r.attempt == e.Attempt {
-		if r.phase != ending {
-			d.drop(r)
-		}
+	r := d.proposed(e.Task, e.Attempt)
+	if r == nil && d.runs[e.Task] != nil && d.runs[e.Task].attempt == e.Attempt {
+		r = d.runs[e.Task]
+		d.drop(r)
+	}
+	if r != nil {
 		d.forget(r)
 	}
-	if e.Kind != modeler.EndDone {
+	if e.Kind == modeler.EndDone {
+		d.stopCopies(now, e.Task)
+	} else {
 		d.logTask("task ended", e.Task, e.Attempt, workerOf(r), "end", e.Kind.String())
 	}
 	u := d.units[e.Task.Unit()]
@@ -454,7 +473,7 @@
 	if e.Kind == modeler.EndFailed && r != nil {
 		u.avoid[e.Task.Index] = r.host.machine.ID
 	}
-	if e.Kind == modeler.EndDone && r != nil && r.began != 0 {
+	if e.Kind == modeler.EndDone && r != nil && r.began != 0 && !r.joined {
 		d.learn(now, u, r)
 	}
 	u.refresh()
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -142,13 +142,23 @@
 		u.ready = false
 	}
 	delete(d.flows, id)
+	for task, copies := range d.abandoned {
+		if task.Flow != id {
+			continue
+		}
+		for _, r := range copies {
+			r.unit = nil
+			d.stop(now, r, "its flow is over")
+		}
+	}
 	if !found || f.Occupied == 0 {
 		return
 	}
 	for task, r := range d.runs {
 		if task.Flow == id {
 			r.unit = nil
-			// The members of a gang that is done end by themselves.
+			// The members of a gang that is done end by themselves, and the
+			// other attempts of a task are stopped on their own.
 			if f.State != modeler.FlowCompleted {
 				d.stop(now, r, "its flow is over")
 			}
--- a/modeler/flow.go
+++ b/modeler/flow.go
@@ -90,6 +90,10 @@
 	Budget int `cbor:"16,keyasint,omitempty"`
 }
 
+// Copied reports whether several attempts of a task may run at once. Members
+// of a gang work for one attempt, and lasting tasks are never done.
+func (s *Step) Copied() bool { return s.Copies && !s.Gang && !s.Lasting }
+
 // PermitPolicy describes the outside policy of a queue.
 type PermitPolicy struct {
 	// Decision and Worker are the time of one question and of each worker named.
