Rate the workers of a question once each

Cause: candidates worked out in the comparison of its sort how awkward a worker is and how good its offer, an exponential and a look at all its attempts each, several times for every worker that is compared.

They are computed once for each worker now; the order stays the same.

--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -84,12 +84,17 @@
 	// tasks is how many tasks of the step have room there.
 	tasks int
 	known bool
+	// awkward means that it would slow a task down or disturb another.
+	awkward bool
+	// offer rates its room and its speed.
+	offer float64
 }
 
 // candidates chooses the workers to name: allowed ones with room first, then
 // unknown ones, until the expected room is enough.
 func (d *Dispatcher) candidates(now modeler.Reading, u *unit) []modeler.WorkerID {
 	need := charge(u.step)
+	first := len(u.permits)+len(u.denied) == 0
 	var all []candidate
 	for _, h := range d.hosts {
 		id := h.machine.ID
@@ -103,23 +108,24 @@
 		if u.step.Label != "" && !slices.Contains(h.machine.Labels, u.step.Label) {
 			continue
 		}
-		all = append(all, candidate{host: h, tasks: d.capacity(u, h, need), known: known})
-	}
-	first := len(u.permits)+len(u.denied) == 0
-	if !first {
-		all = slices.DeleteFunc(all, func(c candidate) bool { return c.tasks == 0 })
+		tasks := d.capacity(u, h, need)
+		if tasks == 0 && !first {
+			continue
+		}
+		all = append(all, candidate{
+			host: h, tasks: tasks, known: known,
+			awkward: d.score(u, h) >= awkward,
+			offer:   d.offer(u, h, tasks),
+		})
 	}
 	slices.SortFunc(all, func(a, b candidate) int {
 		if a.known != b.known && (a.tasks > 0) == (b.tasks > 0) {
-			if a.known {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(
-			cmp.Compare(d.preference(u, a.host), d.preference(u, b.host)),
-			-cmp.Compare(d.offer(u, &a), d.offer(u, &b)),
-			cmp.Compare(a.host.machine.ID, b.host.machine.ID))
+			return trueFirst(a.known)
+		}
+		if a.awkward != b.awkward {
+			return trueFirst(b.awkward)
+		}
+		return cmp.Or(-cmp.Compare(a.offer, b.offer), cmp.Compare(a.host.machine.ID, b.host.machine.ID))
 	})
 	share := d.queue(u.flow.Spec.Queue).allowed
 	want := spare * float64(len(u.waiting))
@@ -139,13 +145,13 @@
 	return names
 }
 
-// preference rates workers that would slow a task down or disturb another
-// last.
-func (d *Dispatcher) preference(u *unit, h *host) int {
-	if d.score(u, h) >= awkward {
-		return 1
+// trueFirst orders two candidates that differ in a property, of which the
+// first one has it or not.
+func trueFirst(has bool) int {
+	if has {
+		return -1
 	}
-	return 0
+	return 1
 }
 
 // capacity is how many more tasks of the step have room on the worker.
--- a/dispatcher/speed.go
+++ b/dispatcher/speed.go
@@ -76,6 +76,6 @@
 
 // offer rates a worker with room for that many tasks when a question is made.
 // Other questions under way that name it are likely to take of its room.
-func (d *Dispatcher) offer(u *unit, c *candidate) float64 {
-	return float64(c.tasks) / float64(1+c.host.named) * math.Exp(-askPull*d.slowdowns.haste(u)*c.host.speed.slowness())
+func (d *Dispatcher) offer(u *unit, h *host, tasks int) float64 {
+	return float64(tasks) / float64(1+h.named) * math.Exp(-askPull*d.slowdowns.haste(u)*h.speed.slowness())
 }
