Show in the state dump which steps wait and which workers get no tasks

Cause: an engineer who is asked why a job does not start found only counts in the leader's dump; the lines of the log tell what was decided, not what was left out and why.

The reasons are the ones that placing itself goes by. TestStatsTellWhatHoldsWorkUp fails without it.

Ruled out: a line for each step at each decision (unbounded under load).

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -292,32 +292,3 @@
 	}
 	return q
 }
-
-// Stats counts what the dispatcher holds.
-type Stats struct {
-	Workers int `json:"workers"`
-	Known   int `json:"known"`
-	Suspect int `json:"suspect"`
-	Units   int `json:"units"`
-	Runs    int `json:"runs"`
-	Waiting int `json:"waiting"`
-}
-
-// Stats returns what the dispatcher holds.
-func (d *Dispatcher) Stats(now modeler.Reading) Stats {
-	s := Stats{Workers: len(d.hosts), Units: len(d.units), Runs: len(d.runs)}
-	for _, h := range d.hosts {
-		if h.known {
-			s.Known++
-		}
-		if h.suspect(now) {
-			s.Suspect++
-		}
-	}
-	for _, u := range d.order {
-		if u.ready {
-			s.Waiting += len(u.waiting)
-		}
-	}
-	return s
-}
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -548,3 +548,23 @@
 		assert.Check(t, patient < 4*time.Second, "permits %v: patient work took %v", permits, patient)
 	}
 }
+
+// Guards against a state dump that does not tell why a step waits.
+func TestStatsTellWhatHoldsWorkUp(t *testing.T) {
+	r := newRig(t, 16)
+	r.cellOf(2, 8)
+	r.submit(flow("f", step(2, 8, 10*time.Second)))
+	r.run(time.Second)
+	r.workers["w01"].cut = true
+	r.submit(flow("g", step(3, 4, time.Second)))
+	r.run(1500 * time.Millisecond)
+	s := r.cell.Stats(r.now)
+	assert.Equal(t, s.Waiting, 3)
+	assert.Equal(t, len(s.Steps), 1)
+	assert.Equal(t, s.Steps[0].Request, modeler.FlowID("g"))
+	assert.Equal(t, s.Steps[0].Tasks, 3)
+	assert.Equal(t, len(s.Idle), 1)
+	assert.Equal(t, s.Idle[0].Worker, modeler.WorkerID("w01"))
+	assert.Equal(t, s.Idle[0].Reason, "it does not answer")
+	assert.Equal(t, s.Idle[0].Attempts, 1)
+}
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -281,14 +281,30 @@
 }
 
 // usable reports whether the worker may get tasks now.
-func (d *Dispatcher) usable(now modeler.Reading, h *host) bool {
-	if h.gone || !h.known || h.machine.Leaving || h.silent > 0 || h.doubtful || now.Sub(h.beat) > beatFor {
-		return false
-	}
-	if len(h.runs) > 0 && now.Sub(h.heard) > freshFor {
-		return false
+func (d *Dispatcher) usable(now modeler.Reading, h *host) bool { return d.unusable(now, h) == "" }
+
+// unusable returns why the worker gets no tasks now, or nothing.
+func (d *Dispatcher) unusable(now modeler.Reading, h *host) string {
+	switch {
+	case h.gone:
+		return "it has ended"
+	case h.machine.Leaving:
+		return "it leaves"
+	case !h.known:
+		return "it has not answered this leader"
+	case h.silent > 0, len(h.runs) > 0 && now.Sub(h.heard) > freshFor:
+		return "it does not answer"
+	case h.doubtful:
+		return "a start had to be sent again"
+	case now.Sub(h.beat) > beatFor:
+		return "its announcements are missing"
+	case h.suspect(now):
+		return "it is distrusted"
+	case h.probing && len(h.runs) > 0:
+		return "one task shows whether it has recovered"
+	default:
+		return ""
 	}
-	return !h.suspect(now) && (!h.probing || len(h.runs) == 0)
 }
 
 // renew sends the next renewal to a worker whose last one was answered. Ends
