Read the metrics of every process at the end of a soak play

Each play ends by asking all control and entry processes, and by looking for the times of calls, orders and syncs. No change of product code.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"goldcreststack.example/goldcreststack/platform/imitator"
@@ -221,6 +222,7 @@
 	for {
 		open := w.open(client)
 		if len(open) == 0 || w.ctx.Err() != nil {
+			w.scrape(client)
 			return
 		}
 		if time.Now().After(end) {
@@ -231,6 +233,27 @@
 	}
 }
 
+// metricsPort is where every process serves its metrics, from the deploy file.
+const metricsPort = "9464"
+
+// scrape reads the metrics of every process as an engineer on call does: all
+// must answer, and show how long calls, orders and syncs have taken.
+func (w *world) scrape(client *http.Client) {
+	var shown strings.Builder
+	for _, p := range append(w.control, w.entries...) {
+		status, body := send(client, http.MethodGet, net.JoinHostPort(p.host, metricsPort), "/metrics", "")
+		if status != http.StatusOK && w.ctx.Err() == nil {
+			w.check.broken("%s answers %d when asked for its metrics", p.name, status)
+		}
+		shown.Write(body)
+	}
+	for _, name := range []string{"call_seconds_bucket", "flow_order_seconds_bucket", "sync_seconds_bucket"} {
+		if !strings.Contains(shown.String(), "goldcreststack_"+name) && w.ctx.Err() == nil {
+			w.check.broken("no process shows %s", name)
+		}
+	}
+}
+
 // open lists the accepted jobs that have not ended.
 func (w *world) open(client *http.Client) []string {
 	w.check.mu.Lock()
