--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -47,6 +47,11 @@
 	// diskParts is the part of the disk at which a snapshot is due: the log up
 	// to it, the snapshot before it and the one being written have to fit.
 	diskParts = 10
+	// snapshotEvery is the number of entries between two snapshots. A leader
+	// that is elected after a restart of the whole group applies the entries
+	// since the last one first, about 20 microseconds each on a small host, and
+	// callers wait for it.
+	snapshotEvery = 4_000
 	// segmentParts is the part of the disk that one file of the log may take.
 	segmentParts = 32
 	// readyFor is how long a process without a leader stays ready: an election
@@ -186,6 +191,7 @@
 		Clock:         clock.Now,
 		ElectionMin:   electionMin,
 		ElectionMax:   electionMax,
+		SnapshotEvery: snapshotEvery,
 		SnapshotBytes: node.Disk / diskParts,
 		Segment:       int64(node.Disk / segmentParts),
 		Flows: &controller.FlowSettings{
