Test the admission of a member that has lost its disk

Three control processes run in the test's process; one comes back at its address with an empty folder and another id, and four seconds after its admission, the platform's bound, the next one stops. The two that are left must lead. No change of code.

--- /dev/null
+++ b/controller/joining_test.go
@@ -0,0 +1,113 @@
+package controller_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"goldcreststack.example/goldcreststack/controller"
+	"goldcreststack.example/goldcreststack/dispatcher"
+	"goldcreststack.example/goldcreststack/modeler"
+	"goldcreststack.example/goldcreststack/relayer"
+	"goldcreststack.example/goldcreststack/reporter"
+)
+
+const (
+	// catchUp is how long after the loss of one disk the next member may fail,
+	// from the platform's bounds.
+	catchUp = 4 * time.Second
+	// recovery bounds the time without a leader: two elections, and their links.
+	recovery = 3 * time.Second
+)
+
+// peer is a running member of a group.
+type peer struct {
+	*controller.Controller
+	stop func()
+}
+
+// listen takes a free port, or the address that a former member had.
+func listen(t *testing.T, address string) net.Listener {
+	listener, err := net.Listen("tcp", address)
+	assert.NilError(t, err)
+	return listener
+}
+
+// startPeer starts a member that begins the group or joins it.
+func startPeer(t *testing.T, id modeler.MemberID, listener net.Listener, first []modeler.Member, join bool) *peer {
+	c, err := controller.New(controller.Settings{
+		Member: id, Listener: listener, Advertise: listener.Addr().String(), Folder: filepath.Join(t.TempDir(), "data"),
+		First: modeler.Membership{Members: first}, Bootstrap: !join, Join: join,
+		ElectionMin: 400 * time.Millisecond, ElectionMax: 750 * time.Millisecond,
+		Report: reporter.New(reporter.Options{Role: "control", Name: "test", Out: io.Discard}),
+		Flows: &controller.FlowSettings{
+			Bounds: dispatcher.Settings{Lease: 6 * time.Second, Stop: 400 * time.Millisecond, Gang: 3 * time.Second, Impact: 4 * time.Second},
+			Send: func(context.Context, *dispatcher.Order) dispatcher.Answer {
+				return dispatcher.Answer{Fate: dispatcher.Unsent}
+			},
+		},
+	})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- c.Run(ctx) }()
+	stopped := false
+	p := &peer{Controller: c, stop: func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		assert.NilError(t, <-ended)
+	}}
+	t.Cleanup(p.stop)
+	return p
+}
+
+// admitted asks for a member's admission until it belongs to the group.
+func admitted(ctx context.Context, r *relayer.Relayer, m modeler.Member, within time.Duration) bool {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if _, err := r.Call(ctx, &modeler.Call{Kind: modeler.JoinCall, Member: &m}); err == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a member that comes back without its disk and is not admitted,
+// does not vote in time, or leaves its former self among the voters: the loss
+// of the next member then ends the group.
+func TestLostDiskIsMadeGood(t *testing.T) {
+	var listeners []net.Listener
+	var first []modeler.Member
+	var addresses []string
+	for id := range modeler.MemberID(3) {
+		l := listen(t, "127.0.0.1:0")
+		listeners = append(listeners, l)
+		addresses = append(addresses, l.Addr().String())
+		first = append(first, modeler.Member{ID: id + 1, Address: l.Addr().String()})
+	}
+	var peers []*peer
+	for i, l := range listeners {
+		peers = append(peers, startPeer(t, first[i].ID, l, first, false))
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	r := relayer.New(relayer.Settings{Name: "test", Report: reporter.New(reporter.Options{Role: "entry", Name: "test", Out: io.Discard})})
+	go func() { _ = r.Run(ctx) }()
+	r.Keep(ctx, addresses)
+	assert.Assert(t, admitted(ctx, r, first[0], recovery), "no leader")
+
+	peers[2].stop()
+	fresh := modeler.Member{ID: 33, Address: addresses[2]}
+	startPeer(t, fresh.ID, listen(t, fresh.Address), first, true)
+	assert.Assert(t, admitted(ctx, r, fresh, catchUp), "the new member is not admitted")
+	time.Sleep(catchUp)
+	peers[1].stop()
+	assert.Assert(t, admitted(ctx, r, fresh, recovery), "the two members that are left have no leader")
+}
