Read the beginning of a pause once the worker has stopped

A stopped process executes nothing, and notes the end of a lease when it is resumed; the check knows that, but only for runs that began before the pause. The test read the beginning of the pause before it sent the signal, and attempt 7 began between the two.

Ruled out: a lease that ends late (attempt 8 began 5.17 s after attempt 7, the lease is 5 s, the leader counts its drift; the End was written after SIGCONT), and the other conditions of the check: the End lies 2 ms after the leader was killed, thus after the end of the pause and within its 100 ms.

The test now waits until the kernel reports the process stopped, and reads the clock after that. No run that began before can be missed, and the bound is as it was: a run counts as going on until the pause has begun, which is later now.

--- a/cmd/goldcreststack/system_test.go
+++ b/cmd/goldcreststack/system_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -97,6 +98,20 @@
 
 func (p *process) signal(s os.Signal) { _ = p.cmd.Process.Signal(s) }
 
+// suspend stops the process and returns when none of it runs any more.
+func (p *process) suspend() {
+	p.signal(syscall.SIGSTOP)
+	var status syscall.WaitStatus
+	for {
+		_, err := syscall.Wait4(p.cmd.Process.Pid, &status, syscall.WUNTRACED, nil)
+		if !errors.Is(err, syscall.EINTR) {
+			assert.NilError(p.t, err)
+			break
+		}
+	}
+	assert.Assert(p.t, status.Stopped(), "%s ended", p.name)
+}
+
 // kill ends the process as a crash does.
 func (p *process) kill() {
 	p.signal(syscall.SIGCONT)
--- a/cmd/goldcreststack/tasks_test.go
+++ b/cmd/goldcreststack/tasks_test.go
@@ -186,8 +186,8 @@
 	s.awaitJob(15*time.Second, "register", 8, 0)
 	s.awaitJob(15*time.Second, "headcount", 4, 0)
 
+	s.workers[0].suspend()
 	paused := pause{from: time.Now()}
-	s.workers[0].signal(syscall.SIGSTOP)
 	s.await(30*time.Second, "tasks of the paused worker are placed elsewhere", func() error {
 		status, err := s.job("register")
 		if err != nil {
