One way to propose an end, one to add an attempt beside the newest

Cause, read in the diff as a newcomer: the end of an attempt was proposed in three places (end, abandon, endAbandoned); strays and abandoned attempts were put beside the newest one by two copies of the same lines; which ends of a former attempt count stood in the dispatcher and in the sequencer; and the end of each flow looked at the abandoned attempts of all flows.

propose, addBeside, unrecorded and the sequencer's Counts each say it once, and a flow that is over looks at its own steps only.

--- a/controller/joining_test.go
+++ b/controller/joining_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -25,12 +26,6 @@
 	recovery = 3 * time.Second
 )
 
-// peer is a running member of a group.
-type peer struct {
-	*controller.Controller
-	stop func()
-}
-
 // listen takes a free port, or the address that a former member had.
 func listen(t *testing.T, address string) net.Listener {
 	listener, err := net.Listen("tcp", address)
@@ -38,8 +33,9 @@
 	return listener
 }
 
-// startPeer starts a member that begins the group or joins it.
-func startPeer(t *testing.T, id modeler.MemberID, listener net.Listener, first []modeler.Member, join bool) *peer {
+// startPeer runs a member that begins the group or joins it until the returned
+// function is called, which waits for its end.
+func startPeer(t *testing.T, id modeler.MemberID, listener net.Listener, first []modeler.Member, join bool) func() {
 	c, err := controller.New(controller.Settings{
 		Member: id, Listener: listener, Advertise: listener.Addr().String(), Folder: filepath.Join(t.TempDir(), "data"),
 		First: modeler.Membership{Members: first}, Bootstrap: !join, Join: join,
@@ -56,17 +52,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- c.Run(ctx) }()
-	stopped := false
-	p := &peer{Controller: c, stop: func() {
-		if stopped {
-			return
-		}
-		stopped = true
+	stop := sync.OnceFunc(func() {
 		cancel()
 		assert.NilError(t, <-ended)
-	}}
-	t.Cleanup(p.stop)
-	return p
+	})
+	t.Cleanup(stop)
+	return stop
 }
 
 // admitted asks for a member's admission until it belongs to the group.
@@ -92,9 +83,9 @@
 		addresses = append(addresses, l.Addr().String())
 		first = append(first, modeler.Member{ID: id + 1, Address: l.Addr().String()})
 	}
-	var peers []*peer
+	var stops []func()
 	for i, l := range listeners {
-		peers = append(peers, startPeer(t, first[i].ID, l, first, false))
+		stops = append(stops, startPeer(t, first[i].ID, l, first, false))
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -103,11 +94,11 @@
 	r.Keep(ctx, addresses)
 	assert.Assert(t, admitted(ctx, r, first[0], recovery), "no leader")
 
-	peers[2].stop()
+	stops[2]()
 	fresh := modeler.Member{ID: 33, Address: addresses[2]}
 	startPeer(t, fresh.ID, listen(t, fresh.Address), first, true)
 	assert.Assert(t, admitted(ctx, r, fresh, catchUp), "the new member is not admitted")
 	time.Sleep(catchUp)
-	peers[1].stop()
+	stops[1]()
 	assert.Assert(t, admitted(ctx, r, fresh, recovery), "the two members that are left have no leader")
 }
--- a/dispatcher/copy.go
+++ b/dispatcher/copy.go
@@ -47,10 +47,10 @@
 func (d *Dispatcher) abandon(now modeler.Reading, r *run) {
 	d.logTask("task copied", r.task, r.attempt, r.host.machine.ID, "percent", r.percent, "failures", r.host.silent, "heard", now.Sub(r.host.heard).String())
 	d.noteAbandoned(r)
+	delete(d.runs, r.task)
 	// The end that is proposed needs an entry of its own, since the attempt
 	// may still come to another one.
-	d.runs[r.task] = &run{task: r.task, attempt: r.attempt, host: r.host, unit: r.unit, phase: ending}
-	d.out.Ends = append(d.out.Ends, modeler.FlowEnd{Task: r.task, Attempt: r.attempt, Kind: modeler.EndLost, Saved: r.saved})
+	d.propose(&run{task: r.task, attempt: r.attempt, host: r.host, unit: r.unit}, modeler.EndLost, r.saved)
 }
 
 func (d *Dispatcher) noteAbandoned(r *run) {
@@ -69,15 +69,8 @@
 
 // findAbandoned takes over an attempt that an earlier leader has abandoned.
 func (d *Dispatcher) findAbandoned(now modeler.Reading, h *host, task modeler.FlowTask, attempt modeler.Attempt) *run {
-	other := d.runs[task]
-	start := modeler.FlowStart{Task: task, Attempt: attempt, Worker: h.machine.ID, Generation: h.machine.Generation}
-	r := d.addRun(now, start, h, restored)
+	r := d.addBeside(now, h, task, attempt, restored)
 	d.noteAbandoned(r)
-	if other != nil {
-		d.runs[task] = other
-	} else {
-		r.unit.refresh()
-	}
 	return r
 }
 
@@ -90,35 +83,17 @@
 	}
 }
 
-// counts reports whether an end of an abandoned attempt ends its task, or
-// uses up an attempt.
-func (d *Dispatcher) counts(task modeler.FlowTask, kind modeler.EndKind) bool {
-	return (kind == modeler.EndDone || kind == modeler.EndFailed) && d.state.Awaits(task)
-}
-
-// endAbandoned proposes the end of an abandoned attempt if it counts.
-func (d *Dispatcher) endAbandoned(r *run, kind modeler.EndKind, saved modeler.Checkpoint) {
-	if r.unit != nil {
-		defer r.unit.refresh()
-	}
-	if !d.counts(r.task, kind) {
+// stopAbandoned stops the abandoned attempts of a step whose flow is over.
+func (d *Dispatcher) stopAbandoned(now modeler.Reading, u *unit) {
+	if !u.step.Copied() {
 		return
 	}
-	r.phase = ending
-	if d.runs[r.task] == nil {
-		d.runs[r.task] = r
-	} else {
-		d.late[trial{r.task, r.attempt}] = r
-	}
-	d.out.Ends = append(d.out.Ends, modeler.FlowEnd{Task: r.task, Attempt: r.attempt, Kind: kind, Saved: saved})
-}
-
-// proposed returns the attempt whose end is proposed, or nil.
-func (d *Dispatcher) proposed(task modeler.FlowTask, attempt modeler.Attempt) *run {
-	if r := d.runs[task]; r != nil && r.attempt == attempt && r.phase == ending {
-		return r
+	for i := range u.step.Count {
+		for _, r := range d.abandoned[u.task(modeler.TaskIndex(i))] {
+			r.unit = nil
+			d.stop(now, r, "its flow is over")
+		}
 	}
-	return d.late[trial{task, attempt}]
 }
 
 // stopCopies stops the other attempts of a task that is done.
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -503,11 +503,11 @@
 	if r != nil && r.attempt != e.Attempt {
 		r = nil
 	}
-	if r != nil && (r.stray || r.abandoned && !d.counts(e.Task, e.Kind)) {
+	if r != nil && d.unrecorded(r, e.Kind) {
 		d.end(r, e.Kind, "")
 		r = nil
 	}
-	if r == nil && d.counts(e.Task, e.Kind) {
+	if r == nil && d.state.Counts(e.Task, e.Kind) {
 		r = &run{task: e.Task, attempt: e.Attempt, host: h, unit: d.units[e.Task.Unit()], phase: running, abandoned: true}
 	}
 	if r == nil || r.phase == committing {
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -124,20 +124,27 @@
 	return r
 }
 
-// addStray stops an attempt that has ended as far as is known.
-func (d *Dispatcher) addStray(now modeler.Reading, h *host, task modeler.FlowTask, attempt modeler.Attempt, why string) {
-	if h.runs[task] != nil {
-		return
-	}
+// addBeside takes room for an attempt that is not its task's newest. It stands
+// for the task while there is no other.
+func (d *Dispatcher) addBeside(now modeler.Reading, h *host, task modeler.FlowTask, attempt modeler.Attempt, p phase) *run {
 	other := d.runs[task]
 	start := modeler.FlowStart{Task: task, Attempt: attempt, Worker: h.machine.ID, Generation: h.machine.Generation}
-	r := d.addRun(now, start, h, running)
-	r.stray = true
+	r := d.addRun(now, start, h, p)
 	if other != nil {
 		d.runs[task] = other
 	} else if r.unit != nil {
 		r.unit.refresh()
 	}
+	return r
+}
+
+// addStray stops an attempt that has ended as far as is known.
+func (d *Dispatcher) addStray(now modeler.Reading, h *host, task modeler.FlowTask, attempt modeler.Attempt, why string) {
+	if h.runs[task] != nil {
+		return
+	}
+	r := d.addBeside(now, h, task, attempt, running)
+	r.stray = true
 	d.stop(now, r, why)
 }
 
@@ -176,8 +183,8 @@
 	h.used = h.used.Add(r.need)
 }
 
-// end proposes the end of an attempt and frees its room: nothing of it runs
-// any more.
+// end frees the room of an attempt of which nothing runs any more, and proposes
+// its end unless that needs no entry.
 func (d *Dispatcher) end(r *run, kind modeler.EndKind, saved modeler.Checkpoint) {
 	if r.phase == ending {
 		return
@@ -186,21 +193,40 @@
 		saved = r.saved
 	}
 	d.drop(r)
-	if r.abandoned {
-		d.endAbandoned(r, kind, saved)
-		return
+	if !d.unrecorded(r, kind) {
+		d.propose(r, kind, saved)
 	}
-	if r.stray {
-		if r.unit != nil {
-			r.unit.refresh()
-		}
-		return
+	if (r.stray || r.abandoned) && r.unit != nil {
+		r.unit.refresh()
 	}
+}
+
+// unrecorded reports whether an end of the attempt needs no entry in the log:
+// its task is done, or goes on without it.
+func (d *Dispatcher) unrecorded(r *run, kind modeler.EndKind) bool {
+	return r.stray || r.abandoned && !d.state.Counts(r.task, kind)
+}
+
+// propose has the end of an attempt committed. The attempt stands for its task
+// until then if no other one does.
+func (d *Dispatcher) propose(r *run, kind modeler.EndKind, saved modeler.Checkpoint) {
 	r.phase = ending
-	d.runs[r.task] = r
+	if d.runs[r.task] == nil {
+		d.runs[r.task] = r
+	} else {
+		d.late[trial{r.task, r.attempt}] = r
+	}
 	d.out.Ends = append(d.out.Ends, modeler.FlowEnd{Task: r.task, Attempt: r.attempt, Kind: kind, Saved: saved})
 }
 
+// proposed returns the attempt whose end is proposed, or nil.
+func (d *Dispatcher) proposed(task modeler.FlowTask, attempt modeler.Attempt) *run {
+	if r := d.runs[task]; r != nil && r.attempt == attempt && r.phase == ending {
+		return r
+	}
+	return d.late[trial{task, attempt}]
+}
+
 // Recorded says that ends were committed, or that they could not be proposed
 // and are to be proposed again.
 func (d *Dispatcher) Recorded(_ modeler.Reading, ends []modeler.FlowEnd, proposed bool) {
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -140,17 +140,9 @@
 			d.order = slices.Delete(d.order, at, at+1)
 		}
 		u.ready = false
+		d.stopAbandoned(now, u)
 	}
 	delete(d.flows, id)
-	for task, copies := range d.abandoned {
-		if task.Flow != id {
-			continue
-		}
-		for _, r := range copies {
-			r.unit = nil
-			d.stop(now, r, "its flow is over")
-		}
-	}
 	if !found || f.Occupied == 0 {
 		return
 	}
--- a/sequencer/sequencer.go
+++ b/sequencer/sequencer.go
@@ -389,8 +389,8 @@
 	s.release(f)
 }
 
-// Awaits reports whether an end of a former attempt of the task still counts:
-// several may run at once, and the first one that is done ends the task.
+// Awaits reports whether a former attempt of the task may still end it: several
+// may run at once, and the first one that is done ends the task.
 func (s *Sequencer) Awaits(task modeler.FlowTask) bool {
 	f := s.flows[task.Flow]
 	if f == nil || f.Over() {
@@ -400,18 +400,21 @@
 	return t != nil && t.Phase != Done && f.Spec.Steps[task.Step].Copied()
 }
 
+// Counts reports whether such an end of a former attempt of the task ends it,
+// or uses up an attempt.
+func (s *Sequencer) Counts(task modeler.FlowTask, kind modeler.EndKind) bool {
+	return (kind == modeler.EndDone || kind == modeler.EndFailed) && s.Awaits(task)
+}
+
 // endCopy records the end of an attempt that is not the newest one, or was
 // given up. The newest attempt occupies its worker until its own end is known.
 func (s *Sequencer) endCopy(now modeler.Stamp, f *Flow, t *Task, end modeler.FlowEnd) {
-	if end.Attempt > t.Attempt || !s.Awaits(end.Task) {
+	if end.Attempt > t.Attempt || !s.Counts(end.Task, end.Kind) {
 		return
 	}
-	switch end.Kind {
-	case modeler.EndDone, modeler.EndFailed:
-		s.settle(now, f, t, end)
-		s.note(Change{Kind: AttemptEnded, Flow: end.Task.Flow, End: end})
-		s.release(f)
-	}
+	s.settle(now, f, t, end)
+	s.note(Change{Kind: AttemptEnded, Flow: end.Task.Flow, End: end})
+	s.release(f)
 }
 
 // settle decides what the end of an attempt means for a flow that goes on.
