Work that is done is not done again because nobody has read its list

Change: - The attempts of a worker that still announces itself are not given up when its leases have run out, but 15 s later at the earliest: its list tells how they ended. - An end that is listed after its attempt was given up counts while no newer attempt was made: done ends the task, failed uses up an attempt. If the next attempt is being committed, its start is not sent. - A leader knows how long events wait that it has not taken in (Behind). What has not been heard since then is no silence: no order is sent again, no lease judged, no worker left, and nothing new is placed when they wait longer than 250 ms.

--- a/controller/flows.go
+++ b/controller/flows.go
@@ -26,7 +26,7 @@
 type FlowSettings struct {
 	Bounds dispatcher.Settings
 	// Send carries out one order and returns the worker's answer.
-	Send func(ctx context.Context, o *dispatcher.Order) dispatcher.Answer
+	Send func(ctx context.Context, o *modeler.Order) modeler.OrderAnswer
 	// Address is where the leader takes the announcements of workers.
 	Address string
 }
@@ -48,8 +48,8 @@
 // orderAnswered brings a worker's answer to an order.
 type orderAnswered struct {
 	term   modeler.Term
-	order  dispatcher.Order
-	answer dispatcher.Answer
+	order  modeler.Order
+	answer modeler.OrderAnswer
 }
 
 func (orderAnswered) isEvent() {}
@@ -165,10 +165,10 @@
 }
 
 // send carries out an order beside the core.
-func (l *flowLead) send(ctx context.Context, o dispatcher.Order) {
+func (l *flowLead) send(ctx context.Context, o modeler.Order) {
 	shell, term := l.core.shell, l.core.lead.term
 	if l.flying >= flowOrdersMax {
-		l.answered(shell.now(), &o, dispatcher.Answer{Fate: dispatcher.Unsent})
+		l.answered(shell.now(), &o, modeler.OrderAnswer{Fate: modeler.FateUnsent})
 		return
 	}
 	l.flying++
@@ -183,8 +183,8 @@
 	}()
 }
 
-func (l *flowLead) answered(now modeler.Reading, o *dispatcher.Order, a dispatcher.Answer) {
-	if o.Kind == dispatcher.Renew {
+func (l *flowLead) answered(now modeler.Reading, o *modeler.Order, a modeler.OrderAnswer) {
+	if o.Kind == modeler.RenewOrder {
 		l.cell.Renewed(now, *o, a)
 		return
 	}
--- a/controller/joining_test.go
+++ b/controller/joining_test.go
@@ -43,8 +43,8 @@
 		Report: reporter.New(reporter.Options{Role: "control", Name: "test", Out: io.Discard}),
 		Flows: &controller.FlowSettings{
 			Bounds: dispatcher.Settings{Lease: 6 * time.Second, Stop: 400 * time.Millisecond, Gang: 3 * time.Second, Impact: 4 * time.Second},
-			Send: func(context.Context, *dispatcher.Order) dispatcher.Answer {
-				return dispatcher.Answer{Fate: dispatcher.Unsent}
+			Send: func(context.Context, *modeler.Order) modeler.OrderAnswer {
+				return modeler.OrderAnswer{Fate: modeler.FateUnsent}
 			},
 		},
 	})
--- a/controller/report.go
+++ b/controller/report.go
@@ -11,7 +11,6 @@
 
 	"goldcreststack.example/goldcreststack/allocator"
 	"goldcreststack.example/goldcreststack/classifier"
-	"goldcreststack.example/goldcreststack/dispatcher"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/reporter"
 	"goldcreststack.example/goldcreststack/supervisor"
@@ -35,8 +34,8 @@
 	decideTime *metrics.Histogram
 	orders     [supervisor.Uncertain + 1]*metrics.Counter
 	// flowOrders and flowOrderTime are kept for each kind of order.
-	flowOrders    [dispatcher.Throttle + 1]*metrics.Counter
-	flowOrderTime [dispatcher.Throttle + 1]*metrics.Histogram
+	flowOrders    [modeler.ThrottleOrder + 1]*metrics.Counter
+	flowOrderTime [modeler.ThrottleOrder + 1]*metrics.Histogram
 }
 
 func newCounts(r *reporter.Reporter) *counts {
@@ -59,7 +58,7 @@
 			c.orders[i] = r.Counter("orders_total", reporter.Label{Name: "fate", Value: names[i]})
 		}
 	}
-	for i := dispatcher.Renew; i <= dispatcher.Throttle; i++ {
+	for i := modeler.RenewOrder; i <= modeler.ThrottleOrder; i++ {
 		label := reporter.Label{Name: "kind", Value: i.String()}
 		c.flowOrders[i] = r.Counter("flow_orders_total", label)
 		c.flowOrderTime[i] = r.Histogram("flow_order_seconds", label)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -21,132 +21,9 @@
 	Log func(event string, pairs ...any)
 }
 
-// OrderKind tells what a worker is ordered to do.
-type OrderKind uint8
-
-// The kinds of orders.
-const (
-	Renew OrderKind = iota + 1
-	Start
-	Stop
-	Throttle
-)
-
-var orderNames = [...]string{Renew: "renew", Start: "start", Stop: "stop", Throttle: "throttle"}
-
-// String returns the kind as metrics and log lines show it.
-func (k OrderKind) String() string {
-	if int(k) < len(orderNames) {
-		return orderNames[k]
-	}
-	return "unknown"
-}
-
-// Order is one call to a worker.
-type Order struct {
-	Kind       OrderKind
-	Worker     modeler.WorkerID
-	Generation modeler.Generation
-	Address    string
-	Term       modeler.Term
-	Task       modeler.FlowTask
-	Attempt    modeler.Attempt
-	// Deadline is the end of the worker's lease on its own clock.
-	Deadline modeler.WorkerClock
-	Spec     string
-	Saved    modeler.Checkpoint
-	Permit   modeler.Permit
-	// Cursor acknowledges the ends up to its number, none if it is 0, and Wait
-	// is how long a renewal may wait for a new end.
-	Cursor modeler.Sequence
-	Wait   time.Duration
-	// Timeout is how long the answer is waited for.
-	Timeout time.Duration
-	// Percent is the share that a throttled task may use.
-	Percent int
-	// First is set on the first renewal of a term.
-	First bool
-}
-
-// Fate tells what became of an order.
-type Fate uint8
-
-// The fates of orders.
-const (
-	// Accepted orders were carried out, or had been before.
-	Accepted Fate = iota + 1
-	// Unsent orders have not reached the worker.
-	Unsent
-	// Silent orders got no answer and may be carried out late.
-	Silent
-	// Stale orders came from a leader that a newer one has replaced.
-	Stale
-	// Superseded starts are not higher than an attempt that was stopped or
-	// has ended there.
-	Superseded
-	// Late starts came after their deadline.
-	Late
-	// Full workers have no room.
-	Full
-	// Unpermitted starts had no valid permit.
-	Unpermitted
-	// Unhealthy workers refuse everything.
-	Unhealthy
-	// Elsewhere means that another worker answers at the address.
-	Elsewhere
-	// Rejected orders were malformed.
-	Rejected
-)
-
-var fateNames = [...]string{
-	Accepted: "accepted", Unsent: "unsent", Silent: "silent", Stale: "stale", Superseded: "superseded",
-	Late: "late", Full: "full", Unpermitted: "unpermitted", Unhealthy: "unhealthy", Elsewhere: "elsewhere",
-	Rejected: "rejected",
-}
-
-// String returns the fate as log lines show it.
-func (f Fate) String() string {
-	if int(f) < len(fateNames) {
-		return fateNames[f]
-	}
-	return "unknown"
-}
-
-// Answer is a worker's answer to an order.
-type Answer struct {
-	Fate  Fate
-	Clock modeler.WorkerClock
-	// Generation is set if the worker has named it.
-	Generation modeler.Generation
-	// Running and Ended are set on renewals.
-	Running []Running
-	Ended   []Ended
-}
-
-// Running is a task that a worker lists.
-type Running struct {
-	Task    modeler.FlowTask
-	Attempt modeler.Attempt
-	Saved   modeler.Checkpoint
-	// Percent of the work that is done; a lasting task that serves has 100.
-	Percent int
-	// Load is the tail of a serving task's response times in milliseconds, or
-	// the millicores that any other task uses.
-	Load int
-}
-
-// Ended is an end that a worker lists until it is acknowledged.
-type Ended struct {
-	Number  modeler.Sequence
-	Task    modeler.FlowTask
-	Attempt modeler.Attempt
-	Kind    modeler.EndKind
-	Saved   modeler.Checkpoint
-}
-
 // Output is what the caller has to carry out.
 type Output struct {
-	Orders []Order
+	Orders []modeler.Order
 	// Starts and Ends are to be committed.
 	Starts []modeler.FlowStart
 	Ends   []modeler.FlowEnd
@@ -184,6 +61,11 @@
 	meeting int
 	// committing counts the starts that are proposed but not committed.
 	committing int
+	// behind is how long the oldest event waits that was not taken in.
+	behind time.Duration
+	// voided holds the tasks whose newest attempt is not sent because a former
+	// one is done, until that end is committed.
+	voided map[modeler.FlowTask]*host
 }
 
 // queueView is what was learned of a queue's flows.
@@ -216,6 +98,7 @@
 		late:      make(map[trial]*run),
 		queues:    make(map[modeler.QueueID]*queueView),
 		changed:   true,
+		voided:    make(map[modeler.FlowTask]*host),
 	}
 	for id := range state.Workers() {
 		d.noteWorker(now, id)
@@ -249,6 +132,14 @@
 	}
 }
 
+// Behind says how long the oldest event has waited that was not taken in yet.
+// What has not been heard by then may be among them, so nothing is concluded
+// from silence since.
+func (d *Dispatcher) Behind(lag time.Duration) { d.behind = lag }
+
+// heardBy returns the reading up to which all that has arrived was taken in.
+func (d *Dispatcher) heardBy(now modeler.Reading) modeler.Reading { return now.Add(-d.behind) }
+
 // Tick lets deadlines pass.
 func (d *Dispatcher) Tick(now modeler.Reading, stamp modeler.Stamp) {
 	d.stamp = stamp
@@ -267,18 +158,25 @@
 	}
 	if d.changed {
 		d.changed = false
-		d.place(now)
+		if d.behind <= placeWithin {
+			d.place(now)
+		}
 	}
 	out := d.out
 	d.out = Output{}
 	return out
 }
 
-func (d *Dispatcher) send(o Order) {
+// placeWithin is the longest time that events may wait while tasks are placed:
+// the shortest objective of urgent work. Behind that, ends and renewals go
+// first, since each decision brings more events.
+const placeWithin = 250 * time.Millisecond
+
+func (d *Dispatcher) send(o modeler.Order) {
 	o.Term = d.term
 	o.Timeout = orderTimeout
 	// The first renewals of a term compete for a new leader's processor.
-	if o.Kind == Renew && d.hosts[o.Worker].known {
+	if o.Kind == modeler.RenewOrder && d.hosts[o.Worker].known {
 		o.Timeout = o.Wait + renewTimeout
 	}
 	d.out.Orders = append(d.out.Orders, o)
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -46,6 +46,10 @@
 	// beatFor is how long the announcements of a worker may be missing before
 	// it counts as silent; they come every 1.5 s.
 	beatFor = 6 * time.Second
+	// awaitFor is how long after the end of its leases the list of a worker is
+	// awaited that still announces itself: what ended there in time is done,
+	// and would be run again.
+	awaitFor = 15 * time.Second
 	// distrust is how long a worker gets no tasks after it failed those of
 	// several flows, or let one stand still.
 	distrust = 5 * time.Second
@@ -87,6 +91,8 @@
 	noted  modeler.Sequence
 	// acknowledged is the cursor that the worker has confirmed.
 	acknowledged modeler.Sequence
+	// held means that ends were left to be listed again.
+	held bool
 	// ending counts the listed ends that are proposed but not committed.
 	ending int
 	used   modeler.Resources
@@ -201,6 +207,7 @@
 func (d *Dispatcher) replaceHost(now modeler.Reading, old *host, m modeler.Machine) {
 	fresh := d.addHost(now, m)
 	fresh.doubts = old.doubts
+	d.unvoid(old)
 	for _, r := range old.runs {
 		if r.phase == committing {
 			d.drop(r)
@@ -243,6 +250,7 @@
 	}
 	h.gone = true
 	d.loseRuns(h)
+	d.unvoid(h)
 }
 
 func (d *Dispatcher) loseRuns(h *host) {
@@ -292,11 +300,11 @@
 		return "it leaves"
 	case !h.known:
 		return "it has not answered this leader"
-	case h.silent > 0, len(h.runs) > 0 && now.Sub(h.heard) > freshFor:
+	case h.silent > 0, len(h.runs) > 0 && d.heardBy(now).Sub(h.heard) > freshFor:
 		return "it does not answer"
 	case h.doubtful:
 		return "a start had to be sent again"
-	case now.Sub(h.beat) > beatFor:
+	case d.heardBy(now).Sub(h.beat) > beatFor:
 		return "its announcements are missing"
 	case h.suspect(now):
 		return "it is distrusted"
@@ -314,8 +322,8 @@
 	if h.gone || h.renewing || now < h.renewAt || h.ending > 0 {
 		return
 	}
-	o := Order{
-		Kind:       Renew,
+	o := modeler.Order{
+		Kind:       modeler.RenewOrder,
 		Worker:     h.machine.ID,
 		Generation: h.machine.Generation,
 		Address:    h.machine.Address,
@@ -366,7 +374,7 @@
 }
 
 // Renewed takes the answer to a renewal that was sent at the given reading.
-func (d *Dispatcher) Renewed(now modeler.Reading, o Order, a Answer) {
+func (d *Dispatcher) Renewed(now modeler.Reading, o modeler.Order, a modeler.OrderAnswer) {
 	if o.First {
 		d.meeting--
 	}
@@ -375,18 +383,22 @@
 		return
 	}
 	h.renewing = false
-	if a.Fate == Elsewhere || a.Fate == Accepted && a.Generation != 0 && a.Generation != o.Generation {
-		if a.Fate == Elsewhere || a.Generation > o.Generation {
+	if a.Fate == modeler.FateElsewhere || a.Fate == modeler.FateAccepted && a.Generation != 0 && a.Generation != o.Generation {
+		if a.Fate == modeler.FateElsewhere || a.Generation > o.Generation {
 			// The announcement of the new generation ends what is left here.
 			h.silent++
 			h.renewAt = now.Add(retryRenew)
 		}
-		if a.Fate == Elsewhere {
+		if a.Fate == modeler.FateElsewhere {
 			d.lose(now, h, "another worker answers at its address")
 		}
 		return
 	}
-	if a.Fate != Accepted {
+	if a.Fate == modeler.FateStray {
+		h.renewAt = now
+		return
+	}
+	if a.Fate != modeler.FateAccepted {
 		h.silent++
 		h.renewAt = now
 		if h.silent > 1 {
@@ -407,7 +419,7 @@
 	d.listed(now, h, a)
 	h.renewAt = now
 	switch {
-	case h.ending > 0:
+	case h.ending > 0 || h.held:
 		h.renewAt = now.Add(renewPause)
 	case len(h.runs) == 0:
 		h.renewAt = now.Add(idleRenew)
@@ -416,7 +428,7 @@
 }
 
 // read takes over the worker's clock.
-func (d *Dispatcher) read(now modeler.Reading, h *host, a Answer) {
+func (d *Dispatcher) read(now modeler.Reading, h *host, a modeler.OrderAnswer) {
 	h.heard = now
 	h.doubtful = false
 	if a.Clock > h.clock {
@@ -426,7 +438,7 @@
 }
 
 // listed compares a worker's lists with what is known of its attempts.
-func (d *Dispatcher) listed(now modeler.Reading, h *host, a Answer) {
+func (d *Dispatcher) listed(now modeler.Reading, h *host, a modeler.OrderAnswer) {
 	first := !h.known
 	h.known = true
 	if first {
@@ -439,10 +451,11 @@
 		seen[e.Task] = max(seen[e.Task], e.Attempt)
 		d.listedRunning(now, h, e)
 	}
+	h.held = false
 	for i := range a.Ended {
 		e := &a.Ended[i]
 		seen[e.Task] = max(seen[e.Task], e.Attempt)
-		d.listedEnd(now, h, e)
+		h.held = h.held || !d.listedEnd(now, h, e)
 	}
 	for task, r := range h.runs {
 		if r.phase == committing || seen[task] >= r.attempt {
@@ -461,7 +474,7 @@
 	d.pace(now, h)
 }
 
-func (d *Dispatcher) listedRunning(now modeler.Reading, h *host, e *Running) {
+func (d *Dispatcher) listedRunning(now modeler.Reading, h *host, e *modeler.ListedRun) {
 	r := h.runs[e.Task]
 	if r == nil && d.state.Awaits(e.Task) {
 		r = d.findAbandoned(now, h, e.Task, e.Attempt)
@@ -471,8 +484,8 @@
 		return
 	}
 	if r.attempt != e.Attempt {
-		d.send(Order{
-			Kind: Stop, Worker: h.machine.ID, Generation: h.machine.Generation, Address: h.machine.Address,
+		d.send(modeler.Order{
+			Kind: modeler.StopOrder, Worker: h.machine.ID, Generation: h.machine.Generation, Address: h.machine.Address,
 			Task: e.Task, Attempt: e.Attempt,
 		})
 		return
@@ -493,12 +506,12 @@
 	d.judgeProgress(now, h, r)
 }
 
-// listedEnd proposes an end that was not proposed before.
-func (d *Dispatcher) listedEnd(now modeler.Reading, h *host, e *Ended) {
+// listedEnd proposes an end that was not proposed before. It reports false if
+// the end and those behind it are to be listed again.
+func (d *Dispatcher) listedEnd(now modeler.Reading, h *host, e *modeler.ListedEnd) bool {
 	if e.Number <= h.noted {
-		return
+		return true
 	}
-	h.noted = e.Number
 	r := h.runs[e.Task]
 	if r != nil && r.attempt != e.Attempt {
 		r = nil
@@ -507,20 +520,66 @@
 		d.end(r, e.Kind, "")
 		r = nil
 	}
+	if r == nil && e.Kind == modeler.EndDone && d.doneAfterAll(h, e) {
+		return false
+	}
+	h.noted = e.Number
 	if r == nil && d.state.Counts(e.Task, e.Kind) {
 		r = &run{task: e.Task, attempt: e.Attempt, host: h, unit: d.units[e.Task.Unit()], phase: running, abandoned: true}
 	}
+	if r == nil && d.voided[e.Task] == h {
+		delete(d.voided, e.Task)
+		if u := d.units[e.Task.Unit()]; u != nil {
+			u.refresh()
+		}
+	}
 	if r == nil || r.phase == committing {
 		// Nobody waits for it, so it is acknowledged without an entry.
 		if h.ending == 0 {
 			h.cursor = h.noted
 		}
-		return
+		return true
 	}
 	d.judge(now, h, r, e.Kind)
 	h.ending++
 	r.listed = true
 	d.end(r, e.Kind, e.Saved)
+	return true
+}
+
+// doneAfterAll keeps a task from being done again whose attempt was given up
+// and turns out to be done. It reports true if the end is to be listed again,
+// after the entries that are being committed.
+func (d *Dispatcher) doneAfterAll(h *host, e *modeler.ListedEnd) bool {
+	if d.proposed(e.Task, e.Attempt) != nil {
+		d.voided[e.Task] = h
+		return true
+	}
+	newer := d.runs[e.Task]
+	switch {
+	case newer == nil:
+		return false
+	case newer.phase == committing && d.state.Counts(e.Task, e.Kind):
+		newer.void = h
+		return true
+	default:
+		// The end of the attempt that was not sent is being committed.
+		return newer.phase == ending && d.voided[e.Task] == h
+	}
+}
+
+// unvoid lets the tasks start again whose former attempts a worker has listed
+// as done, since it can't list them any more.
+func (d *Dispatcher) unvoid(h *host) {
+	for task, lister := range d.voided {
+		if lister != h {
+			continue
+		}
+		delete(d.voided, task)
+		if u := d.units[task.Unit()]; u != nil {
+			u.refresh()
+		}
+	}
 }
 
 // judge notes what an end says of the worker.
@@ -571,14 +630,22 @@
 	return n
 }
 
+// lapsed reports whether the attempts on a worker are to be given up: no lease
+// can be valid any more, and nothing that would tell how they ended is on its
+// way.
+func (d *Dispatcher) lapsed(now modeler.Reading, h *host) bool {
+	heard, end := d.heardBy(now), d.lapse(h)
+	return heard >= end && (heard.Sub(h.beat) > beatFor || heard >= end.Add(awaitFor))
+}
+
 // tickHost ends the attempts of a worker whose leases have run out, and sends
 // orders again that got no answer.
 func (d *Dispatcher) tickHost(now modeler.Reading, h *host) {
-	if !h.gone && now >= d.lapse(h) && h.sentRuns() > 0 {
+	if !h.gone && h.sentRuns() > 0 && d.lapsed(now, h) {
 		d.settings.Log("leases lapsed", "worker", h.machine.ID, "attempts", h.sentRuns(), "heard", now.Sub(h.heard).String())
 		d.loseRuns(h)
 	}
-	if !h.gone && len(h.runs) == 0 && h.silent > 0 && now.Sub(h.beat) > beatFor {
+	if !h.gone && len(h.runs) == 0 && h.silent > 0 && d.heardBy(now).Sub(h.beat) > beatFor {
 		d.lose(now, h, "it is silent")
 	}
 	for _, r := range h.runs {
--- a/dispatcher/pace.go
+++ b/dispatcher/pace.go
@@ -70,8 +70,8 @@
 	r.pacing = true
 	r.shareAt = now
 	d.logTask("task throttled", r.task, r.attempt, r.host.machine.ID, "percent", share, "worst", worst)
-	d.send(Order{
-		Kind: Throttle, Worker: r.host.machine.ID, Generation: r.host.machine.Generation, Address: r.host.machine.Address,
+	d.send(modeler.Order{
+		Kind: modeler.ThrottleOrder, Worker: r.host.machine.ID, Generation: r.host.machine.Generation, Address: r.host.machine.Address,
 		Task: r.task, Attempt: r.attempt, Percent: share,
 	})
 }
--- a/dispatcher/rig_test.go
+++ b/dispatcher/rig_test.go
@@ -41,8 +41,10 @@
 	rate    float64
 	down    bool
 	cut     bool
-	hangs   bool
-	breaks  bool
+	// unreachable workers get no orders and announce themselves.
+	unreachable bool
+	hangs       bool
+	breaks      bool
 	// pace is how many times slower than usual it works; 0 means once.
 	pace int
 	// speed is that of a sound worker by the usual one; 0 means 1.
@@ -50,7 +52,7 @@
 	fence    modeler.Term
 	deadline modeler.WorkerClock
 	running  map[modeler.FlowTask]*job
-	ended    []dispatcher.Ended
+	ended    []modeler.ListedEnd
 	number   modeler.Sequence
 	highest  map[modeler.FlowTask]modeler.Attempt
 }
@@ -116,6 +118,10 @@
 	renewals int
 	// commitTime is that of a command through the replicated log.
 	commitTime time.Duration
+	// rate is how many events the leader's processor takes in a tick; 0 sets no
+	// bound. The others wait in inbox.
+	rate  int
+	inbox []happening
 }
 
 func newRig(t *testing.T, seed uint64) *rig {
@@ -144,6 +150,7 @@
 // lead begins a new leadership over the committed state.
 func (r *rig) lead() {
 	r.term++
+	r.inbox = nil
 	r.state.Changes()
 	r.cell = dispatcher.New(r.now, r.stamp(), r.term, r.state, dispatcher.Settings{
 		Lease: lease, Stop: stopTime, Gang: 3 * time.Second, Impact: 4 * time.Second,
@@ -241,6 +248,7 @@
 	if r.paused {
 		return
 	}
+	r.takeIn()
 	for _, w := range r.all() {
 		if !w.down && !w.cut && r.random.IntN(100) == 0 {
 			r.cell.Announce(r.now, &w.machine)
@@ -252,15 +260,36 @@
 	r.output()
 }
 
+// hear has the leader take in an event, at once or when its processor is free.
+func (r *rig) hear(event func()) {
+	if r.rate == 0 {
+		event()
+		return
+	}
+	r.inbox = append(r.inbox, happening{at: r.now, do: event})
+}
+
+// takeIn lets a leader whose processor is charged take in what it can.
+func (r *rig) takeIn() {
+	for range r.rate {
+		if len(r.inbox) == 0 {
+			return
+		}
+		event := r.inbox[0].do
+		r.inbox = r.inbox[1:]
+		event()
+	}
+}
+
 func (r *rig) output() {
 	out := r.cell.Output(r.now)
 	cell, term := r.cell, r.term
-	slices.SortFunc(out.Orders, func(a, b dispatcher.Order) int {
+	slices.SortFunc(out.Orders, func(a, b modeler.Order) int {
 		return cmp.Or(cmp.Compare(a.Worker, b.Worker), cmp.Compare(a.Kind, b.Kind), compareTasks(a.Task, b.Task))
 	})
 	renewals := 0
 	for _, o := range out.Orders {
-		if o.Kind == dispatcher.Renew {
+		if o.Kind == modeler.RenewOrder {
 			renewals++
 		}
 		r.send(cell, o)
@@ -268,21 +297,25 @@
 	r.renewals = max(r.renewals, renewals)
 	if len(out.Starts) > 0 {
 		r.after(r.commitTime, func() {
-			if term != r.term {
-				return
-			}
-			r.commit(func() { r.state.Start(out.Starts) })
-			cell.Committed(r.now, out.Starts)
+			r.hear(func() {
+				if term != r.term {
+					return
+				}
+				r.commit(func() { r.state.Start(out.Starts) })
+				cell.Committed(r.now, out.Starts)
+			})
 		})
 	}
 	if len(out.Ends) > 0 {
 		r.after(r.commitTime, func() {
-			if term != r.term {
-				return
-			}
-			r.commit(func() { r.state.End(r.stamp(), out.Ends) })
-			cell.Recorded(r.now, out.Ends, true)
-			r.noteFinished()
+			r.hear(func() {
+				if term != r.term {
+					return
+				}
+				r.commit(func() { r.state.End(r.stamp(), out.Ends) })
+				cell.Recorded(r.now, out.Ends, true)
+				r.noteFinished()
+			})
 		})
 	}
 	for range 8 {
@@ -298,7 +331,7 @@
 					answer.Allowed = append(answer.Allowed, modeler.PermitGrant{Worker: id, Permit: "p"})
 				}
 			}
-			cell.Permitted(r.now, answer)
+			r.hear(func() { cell.Permitted(r.now, answer) })
 		})
 	}
 }
@@ -312,31 +345,33 @@
 }
 
 // send carries an order to its worker, with the faults that are set.
-func (r *rig) send(cell *dispatcher.Dispatcher, o dispatcher.Order) {
-	answer := func(a dispatcher.Answer) {
+func (r *rig) send(cell *dispatcher.Dispatcher, o modeler.Order) {
+	answer := func(a modeler.OrderAnswer) {
 		if r.paused {
 			return
 		}
-		if o.Kind == dispatcher.Renew {
-			cell.Renewed(r.now, o, a)
-			return
-		}
-		cell.Answered(r.now, o, a)
+		r.hear(func() {
+			if o.Kind == modeler.RenewOrder {
+				cell.Renewed(r.now, o, a)
+				return
+			}
+			cell.Answered(r.now, o, a)
+		})
 	}
-	lost := func(fate dispatcher.Fate, d time.Duration) {
-		r.after(d, func() { answer(dispatcher.Answer{Fate: fate}) })
+	lost := func(fate modeler.Fate, d time.Duration) {
+		r.after(d, func() { answer(modeler.OrderAnswer{Fate: fate}) })
 	}
 	w := r.workers[o.Worker]
 	chance := r.random.Float64()
 	switch {
-	case w == nil || w.down:
-		lost(dispatcher.Unsent, trip)
+	case w == nil || w.down || w.unreachable:
+		lost(modeler.FateUnsent, trip)
 	case w.cut || chance < r.faults.silent:
-		lost(dispatcher.Silent, o.Timeout)
+		lost(modeler.FateSilent, o.Timeout)
 	case chance < r.faults.silent+r.faults.unsent:
-		lost(dispatcher.Unsent, trip)
+		lost(modeler.FateUnsent, trip)
 	case chance < r.faults.silent+r.faults.unsent+r.faults.late:
-		lost(dispatcher.Silent, o.Timeout)
+		lost(modeler.FateSilent, o.Timeout)
 		r.after(time.Duration(2+r.random.IntN(10))*time.Second, func() {
 			if r.surviving || w.machine.Generation == o.Generation {
 				r.belated = true
@@ -345,14 +380,14 @@
 			}
 		})
 	case r.busy > o.Timeout:
-		lost(dispatcher.Silent, o.Timeout)
+		lost(modeler.FateSilent, o.Timeout)
 		r.after(r.busy, func() { r.handle(w, o) })
 	default:
 		end := r.now.Add(o.Wait)
 		var hear func()
 		hear = func() {
 			a := r.handle(w, o)
-			if o.Kind == dispatcher.Renew && a.Fate == dispatcher.Accepted && len(a.Ended) == 0 && r.now < end {
+			if o.Kind == modeler.RenewOrder && a.Fate == modeler.FateAccepted && len(a.Ended) == 0 && r.now < end {
 				r.after(tick, hear)
 				return
 			}
@@ -363,17 +398,17 @@
 }
 
 // handle is the worker's side of an order.
-func (r *rig) handle(w *worker, o dispatcher.Order) dispatcher.Answer {
+func (r *rig) handle(w *worker, o modeler.Order) modeler.OrderAnswer {
 	if w.down {
-		return dispatcher.Answer{Fate: dispatcher.Unsent}
+		return modeler.OrderAnswer{Fate: modeler.FateUnsent}
 	}
 	clock := w.clock(r.now)
-	a := dispatcher.Answer{Fate: dispatcher.Accepted, Clock: clock}
-	if o.Kind == dispatcher.Renew {
+	a := modeler.OrderAnswer{Fate: modeler.FateAccepted, Clock: clock}
+	if o.Kind == modeler.RenewOrder {
 		a.Generation = w.machine.Generation
 	}
 	if o.Term < w.fence {
-		a.Fate = dispatcher.Stale
+		a.Fate = modeler.FateStale
 		return a
 	}
 	w.fence = o.Term
@@ -381,8 +416,8 @@
 		w.deadline = max(w.deadline, min(o.Deadline, clock.Add(lease)))
 	}
 	switch o.Kind {
-	case dispatcher.Renew:
-		w.ended = slices.DeleteFunc(w.ended, func(e dispatcher.Ended) bool {
+	case modeler.RenewOrder:
+		w.ended = slices.DeleteFunc(w.ended, func(e modeler.ListedEnd) bool {
 			if e.Number > o.Cursor {
 				return false
 			}
@@ -401,11 +436,11 @@
 		for _, task := range w.tasks() {
 			j := w.running[task]
 			percent := int(100 * j.done / max(j.work, 1))
-			a.Running = append(a.Running, dispatcher.Running{Task: task, Attempt: j.attempt, Percent: min(percent, 100), Load: j.load})
+			a.Running = append(a.Running, modeler.ListedRun{Task: task, Attempt: j.attempt, Percent: min(percent, 100), Load: j.load})
 		}
-	case dispatcher.Start:
+	case modeler.StartOrder:
 		a.Fate = r.handleStart(w, o, clock)
-	case dispatcher.Stop:
+	case modeler.StopOrder:
 		w.highest[o.Task] = max(w.highest[o.Task], o.Attempt)
 		if j := w.running[o.Task]; j != nil && j.attempt <= o.Attempt {
 			task, attempt := o.Task, j.attempt
@@ -415,7 +450,7 @@
 				}
 			})
 		}
-	case dispatcher.Throttle:
+	case modeler.ThrottleOrder:
 		if j := w.running[o.Task]; j != nil {
 			j.share = o.Percent
 		}
@@ -423,19 +458,19 @@
 	return a
 }
 
-func (r *rig) handleStart(w *worker, o dispatcher.Order, clock modeler.WorkerClock) dispatcher.Fate {
+func (r *rig) handleStart(w *worker, o modeler.Order, clock modeler.WorkerClock) modeler.Fate {
 	j := w.running[o.Task]
 	switch {
 	case j != nil && j.attempt == o.Attempt:
-		return dispatcher.Accepted
+		return modeler.FateAccepted
 	case o.Attempt <= w.highest[o.Task] || j != nil:
-		return dispatcher.Superseded
+		return modeler.FateSuperseded
 	case o.Deadline < clock:
-		return dispatcher.Late
+		return modeler.FateLate
 	}
 	f, found := r.state.Flow(o.Task.Flow)
 	if !found || len(f.Spec.Steps) == 0 {
-		return dispatcher.Rejected
+		return modeler.FateRejected
 	}
 	step := &f.Spec.Steps[o.Task.Step]
 	w.highest[o.Task] = o.Attempt
@@ -449,11 +484,11 @@
 	if _, known := r.first[o.Task.Flow]; !known {
 		r.first[o.Task.Flow] = r.now
 	}
-	return dispatcher.Accepted
+	return modeler.FateAccepted
 }
 
 // checkStart checks the promises that a start can break.
-func (r *rig) checkStart(w *worker, f *sequencer.Flow, step *modeler.Step, o dispatcher.Order) {
+func (r *rig) checkStart(w *worker, f *sequencer.Flow, step *modeler.Step, o modeler.Order) {
 	r.t.Helper()
 	var used modeler.Resources
 	for task := range w.running {
@@ -506,7 +541,7 @@
 	if kind == modeler.EndFailed {
 		r.failed[task]++
 	}
-	w.ended = append(w.ended, dispatcher.Ended{Number: w.number, Task: task, Attempt: j.attempt, Kind: kind})
+	w.ended = append(w.ended, modeler.ListedEnd{Number: w.number, Task: task, Attempt: j.attempt, Kind: kind})
 	if j.gang && kind != modeler.EndDone {
 		r.endGang(task, j.attempt, modeler.EndBroken)
 	}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -78,6 +78,9 @@
 	abandoned bool
 	// joined means that it ran before this leader knew of it.
 	joined bool
+	// void is the worker that lists a former attempt as done; this one is then
+	// not sent.
+	void *host
 	// pacing means that an order to change the share has no answer yet.
 	pacing bool
 }
@@ -279,6 +282,9 @@
 		r.unit.refresh()
 	}
 	switch h := r.host; {
+	case r.void != nil:
+		d.voided[r.task] = r.void
+		d.end(r, modeler.EndUnstarted, "")
 	case h.gone || d.hosts[h.machine.ID] != h || h.machine.Leaving:
 		d.end(r, modeler.EndUnstarted, "")
 	case r.unit == nil || !r.unit.flow.Placed(r.task):
@@ -299,8 +305,8 @@
 		r.began = now
 	}
 	r.tries++
-	d.send(Order{
-		Kind: Start, Worker: h.machine.ID, Generation: h.machine.Generation, Address: h.machine.Address,
+	d.send(modeler.Order{
+		Kind: modeler.StartOrder, Worker: h.machine.ID, Generation: h.machine.Generation, Address: h.machine.Address,
 		Task: r.task, Attempt: r.attempt, Deadline: d.deadline(now, h),
 		Spec: f.Spec.Spec, Saved: f.Task(r.task).Saved, Permit: r.permit,
 	})
@@ -333,14 +339,14 @@
 	r.stopping = true
 	r.stopSent = now
 	h := r.host
-	d.send(Order{
-		Kind: Stop, Worker: h.machine.ID, Generation: h.machine.Generation, Address: h.machine.Address,
+	d.send(modeler.Order{
+		Kind: modeler.StopOrder, Worker: h.machine.ID, Generation: h.machine.Generation, Address: h.machine.Address,
 		Task: r.task, Attempt: r.attempt,
 	})
 }
 
 // Answered takes the answer to a start, a stop or a throttling.
-func (d *Dispatcher) Answered(now modeler.Reading, o Order, a Answer) {
+func (d *Dispatcher) Answered(now modeler.Reading, o modeler.Order, a modeler.OrderAnswer) {
 	h := d.hosts[o.Worker]
 	if h == nil || h.machine.Generation != o.Generation {
 		return
@@ -349,14 +355,14 @@
 		d.read(now, h, a)
 	}
 	r := h.runs[o.Task]
-	if o.Kind == Start && a.Fate == Silent {
+	if o.Kind == modeler.StartOrder && (a.Fate == modeler.FateSilent || a.Fate == modeler.FateStray) {
 		h.doubts[trial{o.Task, o.Attempt}] = now
 	}
-	if a.Fate != Accepted && (o.Kind == Start || a.Fate != Unsent && a.Fate != Silent) {
+	if a.Fate != modeler.FateAccepted && a.Fate != modeler.FateStray && (o.Kind == modeler.StartOrder || a.Fate != modeler.FateUnsent && a.Fate != modeler.FateSilent) {
 		d.logTask("order not accepted", o.Task, o.Attempt, o.Worker, "order", o.Kind.String(), "fate", a.Fate.String())
 	}
-	if a.Fate == Elsewhere && !h.gone {
-		if r != nil && o.Kind == Start && r.tries == 1 && r.phase == starting && r.attempt == o.Attempt {
+	if a.Fate == modeler.FateElsewhere && !h.gone {
+		if r != nil && o.Kind == modeler.StartOrder && r.tries == 1 && r.phase == starting && r.attempt == o.Attempt {
 			d.end(r, modeler.EndUnstarted, "")
 		}
 		d.lose(now, h, "another worker answers at its address")
@@ -366,53 +372,53 @@
 		return
 	}
 	switch o.Kind {
-	case Start:
+	case modeler.StartOrder:
 		d.startAnswered(now, h, r, a)
-	case Stop:
-		if a.Fate == Accepted {
+	case modeler.StopOrder:
+		if a.Fate == modeler.FateAccepted {
 			r.stopped = max(r.stopped, a.Clock)
 			h.renewAt = min(h.renewAt, now)
 		}
-	case Throttle:
+	case modeler.ThrottleOrder:
 		r.pacing = false
-		if a.Fate == Accepted {
+		if a.Fate == modeler.FateAccepted {
 			r.share = o.Percent
 			r.shareAt = now
 		}
 	}
 }
 
-func (d *Dispatcher) startAnswered(now modeler.Reading, h *host, r *run, a Answer) {
+func (d *Dispatcher) startAnswered(now modeler.Reading, h *host, r *run, a modeler.OrderAnswer) {
 	if r.phase != starting {
 		return
 	}
 	switch a.Fate {
-	case Accepted:
+	case modeler.FateAccepted:
 		d.confirm(now, r)
 		return
-	case Superseded:
+	case modeler.FateSuperseded:
 		// It has ended there, or was stopped; the next list tells.
 		r.stopped = max(r.stopped, a.Clock)
 		h.renewAt = min(h.renewAt, now)
 		return
-	case Silent:
-		if now.Sub(h.heard) > freshFor {
+	case modeler.FateSilent:
+		if d.heardBy(now).Sub(h.heard) > freshFor {
 			h.silent++
 		}
 		return
-	case Stale:
+	case modeler.FateStale, modeler.FateStray:
 		return
-	case Full:
+	case modeler.FateFull:
 		// The worker holds more than is known of it; the next list tells.
 		d.distrustHost(now, h, "it has less room than expected")
 		h.probing = false
-	case Unhealthy:
+	case modeler.FateUnhealthy:
 		d.distrustHost(now, h, "it refuses tasks")
-	case Unpermitted:
+	case modeler.FateUnpermitted:
 		if r.unit != nil {
 			delete(r.unit.permits, h.machine.ID)
 		}
-	case Unsent:
+	case modeler.FateUnsent:
 		h.silent++
 	}
 	if r.tries == 1 {
@@ -428,14 +434,14 @@
 	switch {
 	case h.gone || r.phase == committing || r.phase == ending:
 	case r.stopping:
-		if r.stopped == 0 && now.Sub(r.stopSent) >= resend {
+		if r.stopped == 0 && d.heardBy(now).Sub(r.stopSent) >= resend {
 			d.stop(now, r, "")
 		}
-	case r.phase == starting && r.unit != nil && r.unit.step.Gang && now.Sub(r.began) > d.settings.Gang/gangParts:
+	case r.phase == starting && r.unit != nil && r.unit.step.Gang && d.heardBy(now).Sub(r.began) > d.settings.Gang/gangParts:
 		d.stopGang(now, r.unit, r.attempt, "a member of the gang did not start")
 	case r.phase == starting && h.silent > 0:
 		// If it has restarted, its next generation would carry the start out.
-	case r.phase == starting && now.Sub(r.sent) >= resend:
+	case r.phase == starting && d.heardBy(now).Sub(r.sent) >= resend:
 		if r.abandoned || d.startHopeless(now, h, r) {
 			d.stop(now, r, "the start got no answer")
 			return
@@ -467,7 +473,7 @@
 // stalled reports whether a task has made no progress for too long. Members
 // of a gang wait for each other, and backfill for idle processors.
 func (d *Dispatcher) stalled(now modeler.Reading, r *run) bool {
-	if r.unit == nil || r.percent >= 100 || r.share < 100 || now.Sub(r.host.heard) > freshFor {
+	if r.unit == nil || r.percent >= 100 || r.share < 100 || d.behind > 0 || now.Sub(r.host.heard) > freshFor {
 		return false
 	}
 	step := r.unit.step
@@ -488,6 +494,7 @@
 		d.forget(r)
 	}
 	if e.Kind == modeler.EndDone {
+		delete(d.voided, e.Task)
 		d.stopCopies(now, e.Task)
 	} else {
 		d.logTask("task ended", e.Task, e.Attempt, workerOf(r), "end", e.Kind.String())
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -140,6 +140,9 @@
 			d.order = slices.Delete(d.order, at, at+1)
 		}
 		u.ready = false
+		for i := range u.step.Count {
+			delete(d.voided, u.task(modeler.TaskIndex(i)))
+		}
 		d.stopAbandoned(now, u)
 	}
 	delete(d.flows, id)
@@ -168,7 +171,11 @@
 		if t.Phase != sequencer.Waiting || t.Worker != "" {
 			continue
 		}
-		if r := u.dispatcher.runs[u.task(modeler.TaskIndex(i))]; r != nil {
+		task := u.task(modeler.TaskIndex(i))
+		if u.dispatcher.runs[task] != nil {
+			continue
+		}
+		if u.dispatcher.voided[task] != nil {
 			continue
 		}
 		u.waiting = append(u.waiting, modeler.TaskIndex(i))
--- a/sequencer/sequencer.go
+++ b/sequencer/sequencer.go
@@ -401,9 +401,36 @@
 }
 
 // Counts reports whether such an end of a former attempt of the task ends it,
-// or uses up an attempt.
+// or uses up an attempt. Work that was given up and turns out to be done is not
+// done again as long as no newer attempt was made.
 func (s *Sequencer) Counts(task modeler.FlowTask, kind modeler.EndKind) bool {
-	return (kind == modeler.EndDone || kind == modeler.EndFailed) && s.Awaits(task)
+	switch kind {
+	case modeler.EndFailed:
+		return s.open(task)
+	case modeler.EndDone:
+		return s.Awaits(task) || s.open(task) && s.idle(task)
+	default:
+		return false
+	}
+}
+
+// open reports whether the task is to be done and is not yet.
+func (s *Sequencer) open(task modeler.FlowTask) bool {
+	f := s.flows[task.Flow]
+	if f == nil || f.Over() {
+		return false
+	}
+	t := f.Task(task)
+	return t != nil && t.Phase != Done && !f.Spec.Steps[task.Step].Lasting
+}
+
+// idle reports whether no attempt of the task is placed, or of its gang.
+func (s *Sequencer) idle(task modeler.FlowTask) bool {
+	f := s.flows[task.Flow]
+	if !f.Spec.Steps[task.Step].Gang {
+		return f.Task(task).Worker == ""
+	}
+	return !slices.ContainsFunc(f.StepTasks(task.Unit()), func(t Task) bool { return t.Worker != "" })
 }
 
 // endCopy records the end of an attempt that is not the newest one, or was
