Large cells: other control processes carry the leader's orders

Workers were told to announce themselves to the leader too: 733 requests a second more.

Ruled out: the decisions themselves.

Change: package carrier shares out the workers among the linked control processes (by rendezvous hashing, so that one that is lost moves its own workers only) and hands each a batch of orders every 5 ms. They keep the connections and pass the answers back in batches; they decide nothing. An order keeps its term, its deadline and its attempt, so that one that comes late is refused as before. A carrier doesn't send orders that have waited there for their whole time, nor those of a replaced leader. An order that is lost with its carrier is stray: it may be carried out, and says nothing of the worker. From 400 workers on; below that the leader sends them itself. Workers announce themselves to whichever control process has answered them.

Weighed: carrying through the entry processes (a tenth of the processor and 2 Mbit/s each), and carriers that keep leases by themselves under the leader's term (fewer messages, but one more place that can hold a permission that has run out).

Tests: TestShares, TestOneFateEach, TestNumbersOfTerms, TestBatches, TestCarriedOrders.

--- /dev/null
+++ b/carrier/carrier_test.go
@@ -0,0 +1,118 @@
+package carrier_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"goldcreststack.example/goldcreststack/carrier"
+	"goldcreststack.example/goldcreststack/modeler"
+)
+
+func session(n int) modeler.EntrySession {
+	return modeler.EntrySession{Entry: modeler.EntryID(fmt.Sprintf("control-%d", n)), Incarnation: 1}
+}
+
+func order(worker int) modeler.Order {
+	return modeler.Order{
+		Kind: modeler.StartOrder, Worker: modeler.WorkerID(fmt.Sprintf("worker-%d", worker)),
+		Attempt: modeler.Attempt(worker), Timeout: 400 * time.Millisecond,
+	}
+}
+
+// sent hands over one order for each worker and returns where each went.
+func sent(c *carrier.Carrier, now modeler.Reading, workers int) (map[modeler.WorkerID]modeler.EntrySession, []carrier.Batch) {
+	for w := range workers {
+		c.Send(now, order(w))
+	}
+	to := make(map[modeler.WorkerID]modeler.EntrySession)
+	batches := c.Take(now)
+	for _, b := range batches {
+		for _, o := range b.Orders {
+			to[o.Order.Worker] = b.To
+		}
+	}
+	return to, batches
+}
+
+// Guards against a share of the workers that one process can't carry, and
+// against a change of one process that moves the workers of the others: each
+// worker that moves is met over new connections.
+func TestShares(t *testing.T) {
+	c := carrier.New(3)
+	assert.Assert(t, !c.Send(0, order(1)), "an order was taken without a process to carry it")
+	const processes, workers = 8, 1100
+	for n := range processes {
+		c.Up(session(n))
+	}
+	before, batches := sent(c, 0, workers)
+	assert.Equal(t, len(before), workers)
+	assert.Equal(t, len(batches), processes)
+	for _, b := range batches {
+		assert.Assert(t, len(b.Orders) < 2*workers/processes, "%s carries %d of %d workers", b.To.Entry, len(b.Orders), workers)
+	}
+	lost := c.Down(session(5))
+	after, _ := sent(c, modeler.Reading(time.Second), workers)
+	assert.Equal(t, len(after), workers)
+	moved := 0
+	for worker, to := range before {
+		if to == session(5) {
+			moved++
+			continue
+		}
+		assert.Equal(t, after[worker], to)
+	}
+	assert.Equal(t, len(lost), moved)
+}
+
+// Guards against an order whose fate is told twice, or never: the answer, the
+// loss of the process and the timeout each end it, whichever comes first.
+func TestOneFateEach(t *testing.T) {
+	c := carrier.New(7)
+	c.Up(session(1))
+	assert.Assert(t, c.Send(0, order(1)) && c.Send(0, order(2)) && c.Send(0, order(3)))
+	batch := c.Take(0)[0].Orders
+	assert.Equal(t, c.Flying(), 3)
+
+	o, took, found := c.Answered(modeler.Reading(10*time.Millisecond), batch[0].Number)
+	assert.Assert(t, found)
+	assert.Equal(t, o.Worker, batch[0].Order.Worker)
+	assert.Equal(t, took, 10*time.Millisecond)
+	_, _, found = c.Answered(0, batch[0].Number)
+	assert.Assert(t, !found, "an answer counted twice")
+
+	assert.Equal(t, len(c.Expire(modeler.Reading(time.Second))), 0)
+	assert.Equal(t, len(c.Expire(modeler.Reading(3*time.Second))), 2)
+	_, _, found = c.Answered(0, batch[1].Number)
+	assert.Assert(t, !found, "an order that was given up has an answer")
+	assert.Equal(t, len(c.Down(session(1))), 0)
+}
+
+// Guards against an answer to an earlier term's order that is taken for that of
+// another one, when the same process leads again.
+func TestNumbersOfTerms(t *testing.T) {
+	former, next := carrier.New(7), carrier.New(9)
+	for _, c := range []*carrier.Carrier{former, next} {
+		c.Up(session(1))
+		assert.Assert(t, c.Send(0, order(1)))
+	}
+	_, _, found := next.Answered(0, former.Take(0)[0].Orders[0].Number)
+	assert.Assert(t, !found)
+}
+
+// Guards against a message for each order: the leader of a large cell sends
+// thousands in a second.
+func TestBatches(t *testing.T) {
+	c := carrier.New(1)
+	c.Up(session(1))
+	messages := 0
+	for at := time.Duration(0); at < time.Second; at += time.Millisecond {
+		for w := range 4 {
+			c.Send(modeler.Reading(at), order(w))
+		}
+		messages += len(c.Take(modeler.Reading(at)))
+	}
+	assert.Assert(t, messages <= 200, "%d messages for 4,000 orders", messages)
+}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -79,7 +79,7 @@
 	settings Settings
 	start    time.Time
 	store    *storer.Store
-	events   chan event
+	events   chan posted
 	disk     chan diskJob
 	orders   *orderSender
 	core     *core
@@ -107,7 +107,7 @@
 		settings: settings,
 		start:    time.Now(),
 		store:    store,
-		events:   make(chan event, ringSize),
+		events:   make(chan posted, ringSize),
 		disk:     make(chan diskJob, ringSize),
 	}
 	saved := replicator.Saved{Durable: kept.Durable, Snapshot: kept.Snapshot, Entries: kept.Entries}
@@ -181,7 +181,7 @@
 // post hands an event to the core; it gives up when ctx ends.
 func (c *Controller) post(ctx context.Context, e event) bool {
 	select {
-	case c.events <- e:
+	case c.events <- posted{event: e, at: c.now()}:
 		return true
 	case <-ctx.Done():
 		return false
--- a/controller/core.go
+++ b/controller/core.go
@@ -58,6 +58,8 @@
 	covered   modeler.Bytes
 	lastTerm  modeler.Term
 	lastIndex modeler.Index
+	// taken is when the event that was handled last had been posted.
+	taken modeler.Reading
 	// leaving is closed when a transfer before a shutdown is over.
 	leaving chan struct{}
 }
@@ -136,9 +138,10 @@
 	}
 }
 
-func (c *core) handle(ctx context.Context, e event) {
+func (c *core) handle(ctx context.Context, p posted) {
 	now := c.shell.now()
-	switch e := e.(type) {
+	c.taken = p.at
+	switch e := p.event.(type) {
 	case peerMessage:
 		c.log.Step(now, e.message)
 	case synced:
@@ -193,6 +196,14 @@
 	return c.lead != nil && c.log.LeaseValid(now)
 }
 
+// behind returns how long the oldest event that was not handled has waited.
+func (c *core) behind(now modeler.Reading) time.Duration {
+	if len(c.shell.events) == 0 {
+		return 0
+	}
+	return max(now.Sub(c.taken), 0)
+}
+
 // flush carries out what the cores have decided until nothing is left.
 func (c *core) flush(ctx context.Context) error {
 	for {
--- a/controller/entries.go
+++ b/controller/entries.go
@@ -23,12 +23,14 @@
 		// The entry host dialled anew, so its former link has gone silent.
 		old.Close()
 		delete(c.entries, old)
-		c.laneDown(old)
+		if c.lead != nil && c.lead.flows != nil {
+			c.lead.flows.linkDown(c.shell.now(), old, session)
+		}
 	}
 	c.links[session] = l
 	c.entries[l] = session
 	if c.lead != nil && c.lead.flows != nil {
-		c.lead.flows.lanes[l] = nil
+		c.lead.flows.linkUp(l)
 	}
 	l.Send(&modeler.Message{Kind: modeler.HelloMessage, Hello: c.hello.Load()})
 	if c.active(c.shell.now()) {
@@ -42,7 +44,9 @@
 		return
 	}
 	delete(c.entries, l)
-	c.laneDown(l)
+	if c.lead != nil && c.lead.flows != nil {
+		c.lead.flows.linkDown(c.shell.now(), l, session)
+	}
 	if c.links[session] == l {
 		delete(c.links, session)
 		c.lender.Detach(c.shell.now(), session)
@@ -107,6 +111,10 @@
 			c.lead.flows.lanes[l] = nil
 			c.lead.flows.cell.Permitted(now, *m.PermitAnswer)
 		}
+	case modeler.CarriedMessage:
+		if c.lead != nil && c.lead.flows != nil {
+			c.lead.flows.carried(now, m.Carried)
+		}
 	case modeler.QueryMessage:
 		if m.Query != nil {
 			c.entryQuery(now, l, m)
--- a/controller/event.go
+++ b/controller/event.go
@@ -10,6 +10,12 @@
 // event is something that the core goroutine handles.
 type event interface{ isEvent() }
 
+// posted is an event and when it was handed to the core goroutine.
+type posted struct {
+	event event
+	at    modeler.Reading
+}
+
 // peerMessage is a message from another member.
 type peerMessage struct{ message modeler.PeerMessage }
 
--- a/controller/flows.go
+++ b/controller/flows.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"goldcreststack.example/goldcreststack/carrier"
 	"goldcreststack.example/goldcreststack/classifier"
 	"goldcreststack.example/goldcreststack/dispatcher"
 	"goldcreststack.example/goldcreststack/linker"
@@ -27,8 +28,6 @@
 	Bounds dispatcher.Settings
 	// Send carries out one order and returns the worker's answer.
 	Send func(ctx context.Context, o *modeler.Order) modeler.OrderAnswer
-	// Address is where the leader takes the announcements of workers.
-	Address string
 }
 
 // flowLead is what a leader does for flows.
@@ -37,8 +36,10 @@
 	cell *dispatcher.Dispatcher
 	// lanes holds the question under way on each link, and nil on free ones.
 	lanes map[*linker.Link]*modeler.PermitAsk
-	// flying counts the orders without an answer.
-	flying int
+	// flying counts the orders without an answer that the leader sends itself,
+	// and carrier has those that other processes carry.
+	flying  int
+	carrier *carrier.Carrier
 	// starts and ends wait to be proposed together at nextEntry.
 	starts    []modeler.FlowStart
 	ends      []modeler.FlowEnd
@@ -63,9 +64,11 @@
 		core:  c,
 		cell:  dispatcher.New(now, c.stamp(), term, c.state.Flows(), settings.Bounds),
 		lanes: make(map[*linker.Link]*modeler.PermitAsk),
+
+		carrier: carrier.New(term),
 	}
 	for link := range c.entries {
-		l.lanes[link] = nil
+		l.linkUp(link)
 	}
 	return l
 }
@@ -77,10 +80,12 @@
 
 // act carries out what the dispatcher has decided.
 func (l *flowLead) act(ctx context.Context, now modeler.Reading) {
+	l.cell.Behind(l.core.behind(now))
 	out := l.cell.Output(now)
 	for i := range out.Orders {
 		l.send(ctx, out.Orders[i])
 	}
+	l.carry(now)
 	l.starts = append(l.starts, out.Starts...)
 	l.ends = append(l.ends, out.Ends...)
 	if now >= l.nextEntry {
@@ -121,8 +126,10 @@
 	}
 }
 
-// due returns when the next entry may be proposed, if one waits.
+// due returns when the next entry may be proposed or the next orders may be
+// handed over, if any wait.
 func (l *flowLead) due(other modeler.Reading) modeler.Reading {
+	other = l.carrier.Due(other)
 	if len(l.starts)+len(l.ends) == 0 {
 		return other
 	}
@@ -152,21 +159,65 @@
 	}
 }
 
-// laneDown gives up the question that was under way on a closed link.
-func (c *core) laneDown(link *linker.Link) {
-	if c.lead == nil || c.lead.flows == nil {
-		return
+// linkUp takes a link into use for questions, and for orders if its process
+// carries them. The leader's own process sends its orders itself.
+func (l *flowLead) linkUp(link *linker.Link) {
+	l.lanes[link] = nil
+	if to := link.Peer.Carries; to != "" && to != l.core.shell.settings.Advertise {
+		l.carrier.Up(l.core.entries[link])
 	}
-	l := c.lead.flows
+}
+
+// linkDown gives up the question and the orders that were under way on a
+// closed link.
+func (l *flowLead) linkDown(now modeler.Reading, link *linker.Link, session modeler.EntrySession) {
 	if ask := l.lanes[link]; ask != nil {
-		l.cell.Permitted(c.shell.now(), modeler.PermitAnswer{Unit: ask.Unit, Failed: true})
+		l.cell.Permitted(now, modeler.PermitAnswer{Unit: ask.Unit, Failed: true})
 	}
 	delete(l.lanes, link)
+	l.stray(now, l.carrier.Down(session), "the link to the process was lost")
+}
+
+// stray gives up orders whose fate is not known.
+func (l *flowLead) stray(now modeler.Reading, orders []modeler.Order, why string) {
+	if len(orders) == 0 {
+		return
+	}
+	l.core.shell.settings.Report.Warn("carried orders were given up", "orders", len(orders), "reason", why)
+	for i := range orders {
+		l.answered(now, &orders[i], modeler.OrderAnswer{Fate: modeler.FateStray})
+	}
+}
+
+// carry hands the orders that are due to the processes that carry them.
+func (l *flowLead) carry(now modeler.Reading) {
+	for _, b := range l.carrier.Take(now) {
+		if link := l.core.links[b.To]; link != nil {
+			link.Send(&modeler.Message{Kind: modeler.CarryMessage, Carry: b.Orders})
+		}
+	}
 }
 
-// send carries out an order beside the core.
+// carried takes the answers to orders that another process has carried.
+func (l *flowLead) carried(now modeler.Reading, answers []modeler.CarriedAnswer) {
+	for i := range answers {
+		o, took, found := l.carrier.Answered(now, answers[i].Number)
+		if !found {
+			continue
+		}
+		l.core.shell.counts.flowOrderTime[o.Kind].Update(took.Seconds())
+		l.answered(now, &o, answers[i].Answer)
+	}
+}
+
+// send carries out an order beside the core, or has it carried by another
+// process where the cell is large.
 func (l *flowLead) send(ctx context.Context, o modeler.Order) {
 	shell, term := l.core.shell, l.core.lead.term
+	if len(l.core.state.Flows().Workers()) >= carrier.WorkersFrom && l.carrier.Send(shell.now(), o) {
+		shell.counts.flowOrders[o.Kind].Inc()
+		return
+	}
 	if l.flying >= flowOrdersMax {
 		l.answered(shell.now(), &o, modeler.OrderAnswer{Fate: modeler.FateUnsent})
 		return
@@ -327,12 +378,11 @@
 	if m == nil {
 		return failed(classifier.New(classifier.Malformed, "the worker is missing")), nil
 	}
-	reply := modeler.Reply{Address: l.core.shell.settings.Flows.Address}
 	l.cell.Announce(now, m)
 	if l.cell.Fresh(m) {
-		return reply, nil
+		return modeler.Reply{}, nil
 	}
-	return reply, &modeler.Command{Kind: modeler.NoteWorkers, Machines: []modeler.Machine{*m}}
+	return modeler.Reply{}, &modeler.Command{Kind: modeler.NoteWorkers, Machines: []modeler.Machine{*m}}
 }
 
 // followFlows hands the changes of flows to the leader's dispatcher, before the
--- a/controller/leadership.go
+++ b/controller/leadership.go
@@ -94,6 +94,8 @@
 func (l *leadership) tick(now modeler.Reading) {
 	l.tasks.Tick(now)
 	if l.flows != nil {
+		l.flows.stray(now, l.flows.carrier.Expire(now), "no answer came in time")
+		l.flows.cell.Behind(l.core.behind(now))
 		l.flows.cell.Tick(now, l.core.stamp())
 	}
 	l.core.tendMembers(now)
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -95,6 +95,7 @@
 	relay  *relayer.Relayer
 	server *platform.Server
 	client *platform.Client
+	clock  *clocker.Clock
 	ending atomic.Bool
 	// reached is when a leader was last reached, in nanoseconds since start.
 	reached atomic.Int64
@@ -103,20 +104,27 @@
 
 func newHost(node *platform.Node, report *reporter.Reporter) *host {
 	limits(node)
-	h := &host{node: node, report: report, client: platform.NewClient(), start: time.Now()}
-	h.relay = relayer.New(relayer.Settings{
-		Name: modeler.EntryID(node.Name),
+	h := &host{node: node, report: report, client: platform.NewClient(), clock: clocker.New(), start: time.Now()}
+	settings := relayer.Settings{
+		Name:  modeler.EntryID(node.Name),
+		Clock: h.clock.Now,
 		Ask: func(ctx context.Context, ask *modeler.PermitAsk) modeler.PermitAnswer {
 			return h.client.Ask(ctx, node.Policy, ask)
 		},
 		Report: report,
-	})
+	}
+	if node.Control != "" {
+		// Entry hosts have too little processor and network for it.
+		settings.Carry, settings.Carries = h.client.Send, node.Link
+	}
+	h.relay = relayer.New(settings)
 	h.server = &platform.Server{
-		Call:   h.relay.Call,
-		Ready:  h.ready,
-		Log:    func(event string, pairs ...any) { report.Info(event, pairs...) },
-		Outage: h.relay.Outage,
-		Later:  func() time.Duration { return comeBack },
+		Address: node.Control,
+		Call:    h.relay.Call,
+		Ready:   h.ready,
+		Log:     func(event string, pairs ...any) { report.Info(event, pairs...) },
+		Outage:  h.relay.Outage,
+		Later:   func() time.Duration { return comeBack },
 	}
 	return h
 }
@@ -181,14 +189,13 @@
 // old address, since its former self may have voted.
 func (h *host) member() (controller.Settings, error) {
 	node := h.node
-	clock := clocker.New()
 	settings := controller.Settings{
 		Listen:        node.Link,
 		Advertise:     node.Link,
 		Folder:        node.Folder,
 		Report:        h.report,
 		Resume:        true,
-		Clock:         clock.Now,
+		Clock:         h.clock.Now,
 		ElectionMin:   electionMin,
 		ElectionMax:   electionMax,
 		SnapshotEvery: snapshotEvery,
@@ -199,8 +206,7 @@
 				Lease: node.Lease, Stop: node.Stop, Gang: node.Gang, Impact: node.Impact,
 				Log: func(event string, pairs ...any) { h.report.Info(event, pairs...) },
 			},
-			Send:    h.client.Send,
-			Address: node.Control,
+			Send: h.client.Send,
 		},
 	}
 	if settings.Flows.Bounds.Lease == 0 {
--- a/modeler/flow.go
+++ b/modeler/flow.go
@@ -283,8 +283,6 @@
 	Count  int       `cbor:"3,keyasint,omitempty"`
 	// Document is the layout as the operator wrote it.
 	Document []byte `cbor:"4,keyasint,omitempty"`
-	// Address is where the leader takes further announcements.
-	Address string `cbor:"5,keyasint,omitempty"`
 }
 
 // PermitAsk has a process ask the outside policy where a step may run.
--- a/modeler/message.go
+++ b/modeler/message.go
@@ -23,6 +23,8 @@
 	ReplyMessage
 	PermitAskMessage
 	PermitAnswerMessage
+	CarryMessage
+	CarriedMessage
 )
 
 // Message is one frame on a link; exactly the part that Kind names is set.
@@ -44,6 +46,8 @@
 	Reply         *Reply            `cbor:"15,keyasint,omitempty"`
 	PermitAsk     *PermitAsk        `cbor:"16,keyasint,omitempty"`
 	PermitAnswer  *PermitAnswer     `cbor:"17,keyasint,omitempty"`
+	Carry         []CarriedOrder    `cbor:"18,keyasint,omitempty"`
+	Carried       []CarriedAnswer   `cbor:"19,keyasint,omitempty"`
 }
 
 // Hello is the first message in each direction of a link.
@@ -57,6 +61,9 @@
 	Leads bool `cbor:"6,keyasint,omitempty"`
 	// Members are the addresses of the group's members.
 	Members []string `cbor:"7,keyasint,omitempty"`
+	// Carries is where the sender accepts links if it carries the leader's
+	// orders to workers; empty if it doesn't.
+	Carries string `cbor:"8,keyasint,omitempty"`
 }
 
 // Renew asks the leader to renew the session of an entry host and tells what
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -39,7 +39,14 @@
 type Settings struct {
 	Name modeler.EntryID
 	// Ask puts one question to the outside policy.
-	Ask    func(ctx context.Context, ask *modeler.PermitAsk) modeler.PermitAnswer
+	Ask func(ctx context.Context, ask *modeler.PermitAsk) modeler.PermitAnswer
+	// Carry carries out one order to a worker; nil if the process carries none.
+	Carry func(ctx context.Context, o *modeler.Order) modeler.OrderAnswer
+	// Carries is where a process that carries orders accepts links.
+	Carries string
+	// Clock returns readings that count suspensions of the host; the time since
+	// the relayer's creation by default.
+	Clock  func() modeler.Reading
 	Report *reporter.Reporter
 }
 
@@ -55,6 +62,12 @@
 	// counts are kept for each kind of call.
 	counts [modeler.JoinCall + 1]callCounts
 	asked  callCounts
+	// carrying counts the orders that are carried now, and answers holds those
+	// that go back to the leader.
+	carrying atomic.Int64
+	answers  chan carriedAnswer
+	// term is the highest term of a leader that was reached.
+	term atomic.Uint64
 }
 
 // callCounts are the metrics of one kind of call.
@@ -79,15 +92,27 @@
 
 // New returns a relayer without links.
 func New(settings Settings) *Relayer {
-	r := &Relayer{settings: settings, asks: make(chan question, asksAtOnce), start: time.Now()}
+	r := &Relayer{
+		settings: settings,
+		asks:     make(chan question, asksAtOnce),
+		answers:  make(chan carriedAnswer, carryMost),
+		start:    time.Now(),
+	}
+	if settings.Clock == nil {
+		r.settings.Clock = func() modeler.Reading { return modeler.Reading(time.Since(r.start)) }
+	}
 	for kind := range r.counts {
 		r.counts[kind] = newCallCounts(settings.Report, modeler.CallKind(kind).String())
 	}
 	r.asked = newCallCounts(settings.Report, "permit")
 	hello := modeler.Hello{Entry: settings.Name, Incarnation: modeler.Incarnation(time.Now().UnixNano())}
+	if settings.Carry != nil {
+		hello.Carries = settings.Carries
+	}
 	r.client = follower.New(hello, follower.Seams{
 		LeaderUp: func(_ context.Context, term modeler.Term) {
 			r.lost.Store(0)
+			r.noteTerm(term)
 			settings.Report.Info("leader reached", "term", term)
 		},
 		LeaderDown: func(_ context.Context, term modeler.Term) {
@@ -104,8 +129,9 @@
 // Reached reports whether there is a link to a leader.
 func (r *Relayer) Reached() bool { return r.client.Leader() != nil }
 
-// Run answers the leader's questions until ctx ends.
+// Run answers the leader's questions and orders until ctx ends.
 func (r *Relayer) Run(ctx context.Context) error {
+	go r.runAnswers(ctx)
 	for {
 		select {
 		case q := <-r.asks:
@@ -136,7 +162,11 @@
 	return answer
 }
 
-func (r *Relayer) receive(_ context.Context, l *linker.Link, m *modeler.Message) {
+func (r *Relayer) receive(ctx context.Context, l *linker.Link, m *modeler.Message) {
+	if m.Kind == modeler.CarryMessage && r.settings.Carry != nil {
+		r.carry(ctx, l, m.Carry)
+		return
+	}
 	if m.Kind != modeler.PermitAskMessage || m.PermitAsk == nil {
 		return
 	}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -202,3 +202,63 @@
 	close(block)
 	await(t, "answers", func() bool { return len(answers) >= 6 })
 }
+
+// Guards against orders that are carried too late or for a leader that another
+// one has replaced: the leader is told that they were not sent, or nothing.
+func TestCarriedOrders(t *testing.T) {
+	m := newMember(t, 1)
+	answers := make(chan modeler.CarriedAnswer, 16)
+	m.answer = func(message *modeler.Message) *modeler.Message {
+		for _, a := range message.Carried {
+			answers <- a
+		}
+		return nil
+	}
+	var mu sync.Mutex
+	var now modeler.Reading
+	var sent []modeler.WorkerID
+	r := relayer.New(relayer.Settings{
+		Name:    "control-2",
+		Carries: "127.0.0.1:1",
+		Carry: func(_ context.Context, o *modeler.Order) modeler.OrderAnswer {
+			mu.Lock()
+			defer mu.Unlock()
+			sent = append(sent, o.Worker)
+			return modeler.OrderAnswer{Fate: modeler.FateAccepted, Clock: 42}
+		},
+		Clock: func() modeler.Reading {
+			mu.Lock()
+			defer mu.Unlock()
+			// Each look at the clock is 300 ms after the one before.
+			now = now.Add(300 * time.Millisecond)
+			return now
+		},
+		Report: reporter.New(reporter.Options{Role: "control", Name: "control-2", Out: io.Discard}),
+	})
+	m.lead(5, true)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = r.Run(ctx) }()
+	r.Keep(ctx, []string{m.address})
+	for !r.Reached() {
+		time.Sleep(time.Millisecond)
+	}
+	carry := func(o modeler.Order) modeler.OrderAnswer {
+		m.mu.Lock()
+		link := m.links[0]
+		m.mu.Unlock()
+		assert.Equal(t, link.Peer.Carries, "127.0.0.1:1")
+		link.Send(&modeler.Message{Kind: modeler.CarryMessage, Carry: []modeler.CarriedOrder{{Number: 9, Order: o}}})
+		a := <-answers
+		assert.Equal(t, a.Number, modeler.Sequence(9))
+		return a.Answer
+	}
+	a := carry(modeler.Order{Worker: "w1", Term: 5, Timeout: 400 * time.Millisecond})
+	assert.Equal(t, a.Fate, modeler.FateAccepted)
+	assert.Equal(t, a.Clock, modeler.WorkerClock(42))
+	// It has waited here for longer than its answer is awaited.
+	assert.Equal(t, carry(modeler.Order{Worker: "w2", Term: 5, Timeout: 200 * time.Millisecond}).Fate, modeler.FateUnsent)
+	// A leader of a later term was reached.
+	assert.Equal(t, carry(modeler.Order{Worker: "w3", Term: 4, Timeout: 400 * time.Millisecond}).Fate, modeler.FateStale)
+	assert.DeepEqual(t, sent, []modeler.WorkerID{"w1"})
+}
