A flow whose numbers overflow is refused before it is accepted

Cause, found by reading for messages that take a process down: the check of a flow multiplied tasks and occurrences without a bound on the second factor. With 4 tasks 2^62 times the product is 0, the flow is committed, and every member that applies it and leads loops over its occurrences for ever, after each restart too. Sizes in mebibytes overflowed when they were read, and estimates, intervals and bounds below zero were taken.

--- a/sequencer/sequencer.go
+++ b/sequencer/sequencer.go
@@ -16,6 +16,11 @@
 	// maxTasks bounds the tasks of one flow over all its occurrences, since
 	// each takes memory on every member.
 	maxTasks = 100_000
+	// maxSpan bounds the times that a flow names, and maxAmount what one task
+	// needs of a resource, so that sums over all tasks and occurrences of a flow
+	// can't overflow: a year, and a pebibyte.
+	maxSpan   = 365 * 24 * time.Hour
+	maxAmount = 1 << 50
 )
 
 // Phase tells how far a task is.
@@ -266,8 +271,8 @@
 			return classifier.New(classifier.Malformed, "step %d has %d tasks", i, step.Count)
 		}
 		total += step.Count
-		if step.Need.Negative() || step.Need.Processors < 0 {
-			return classifier.New(classifier.Malformed, "step %d needs less than nothing", i)
+		if err := checkStep(i, step); err != nil {
+			return err
 		}
 		for _, earlier := range step.After {
 			if int(earlier) >= i {
@@ -275,12 +280,34 @@
 			}
 		}
 	}
-	if total > maxTasks || f.Times < 0 || total*max(f.Times, 1) > maxTasks {
+	if f.Times < 0 || outside(f.Every) {
+		return classifier.New(classifier.Malformed, "the flow is to run %d times, every %v", f.Times, f.Every)
+	}
+	if total > maxTasks || f.Times > maxTasks || total*max(f.Times, 1) > maxTasks {
 		return classifier.New(classifier.TooLarge, "the flow has more than %d tasks", maxTasks)
 	}
 	return nil
 }
 
+func checkStep(i int, step *modeler.Step) error {
+	need := step.Need
+	switch {
+	case need.Negative():
+		return classifier.New(classifier.Malformed, "step %d needs less than nothing", i)
+	case need.Processors > maxAmount || need.Memory > maxAmount || need.Accelerators > maxAmount:
+		return classifier.New(classifier.TooLarge, "a task of step %d needs more than any host can have", i)
+	case outside(step.Estimate) || outside(step.Target):
+		return classifier.New(classifier.Malformed, "step %d has an estimate of %v and a target of %v", i, step.Estimate, step.Target)
+	case step.PerWorker < 0 || step.Budget < 0:
+		return classifier.New(classifier.Malformed, "step %d has a bound below zero", i)
+	default:
+		return nil
+	}
+}
+
+// outside reports whether a span of time is none that a flow may name.
+func outside(d time.Duration) bool { return d < 0 || d > maxSpan }
+
 // Cancel ends a flow; a flow that is over stays as it is.
 func (s *Sequencer) Cancel(now modeler.Stamp, id modeler.FlowID) modeler.Result {
 	f, found := s.flows[id]
--- a/sequencer/sequencer_test.go
+++ b/sequencer/sequencer_test.go
@@ -1,6 +1,7 @@
 package sequencer_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -204,3 +205,35 @@
 	many.Times = 2
 	assert.ErrorContains(t, sequencer.Check(many), "more than")
 }
+
+// Guards against one malformed flow that stops every member: they all apply
+// what was accepted, so each bound is checked before.
+func TestCheckRefusesWhatCannotBeHeld(t *testing.T) {
+	sound := func() *modeler.Flow {
+		return &modeler.Flow{ID: "f", Steps: []modeler.Step{{Count: 4, Estimate: time.Second}}, Times: 2, Every: time.Second}
+	}
+	assert.NilError(t, sequencer.Check(sound()))
+	for name, spoil := range map[string]func(*modeler.Flow){
+		"occurrences beyond the bound":  func(f *modeler.Flow) { f.Times = 1 << 40 },
+		"a product that overflows":      func(f *modeler.Flow) { f.Times = 1 << 62 },
+		"occurrences less than none":    func(f *modeler.Flow) { f.Times = -1 },
+		"an interval that overflows":    func(f *modeler.Flow) { f.Every = math.MaxInt64 },
+		"an interval less than nothing": func(f *modeler.Flow) { f.Every = -time.Second },
+		"an estimate less than nothing": func(f *modeler.Flow) { f.Steps[0].Estimate = math.MinInt64 },
+		"an estimate that overflows":    func(f *modeler.Flow) { f.Steps[0].Estimate = math.MaxInt64 },
+		"memory less than nothing":      func(f *modeler.Flow) { f.Steps[0].Need.Memory = -1 },
+		"memory that overflows":         func(f *modeler.Flow) { f.Steps[0].Need.Memory = math.MaxInt64 },
+		"processors that overflow":      func(f *modeler.Flow) { f.Steps[0].Need.Processors = math.MaxInt64 },
+		"accelerators that overflow":    func(f *modeler.Flow) { f.Steps[0].Need.Accelerators = math.MaxInt64 },
+		"no tasks":                      func(f *modeler.Flow) { f.Steps[0].Count = 0 },
+		"a bound less than nothing":     func(f *modeler.Flow) { f.Steps[0].PerWorker = -1 },
+		"a budget less than nothing":    func(f *modeler.Flow) { f.Steps[0].Budget = -1 },
+		"a target less than nothing":    func(f *modeler.Flow) { f.Steps[0].Target = -1 },
+		"a step after itself":           func(f *modeler.Flow) { f.Steps[0].After = []modeler.StepIndex{0} },
+		"no steps":                      func(f *modeler.Flow) { f.Steps = nil },
+	} {
+		f := sound()
+		spoil(f)
+		assert.Check(t, sequencer.Check(f) != nil, name)
+	}
+}
