Links hand on nothing that comes after a suspension of the process

Cause, found by reading for permissions that have run out: the silence of a link was measured by timers, which stand still while a host is suspended. After it woke up, the process took what had been sent to it before, among it orders that it carries to workers, as if it were new.

A message that comes later than the bound of silence, by the clock that counts suspensions, closes the link instead. TestNothingIsTakenAfterSuspension fails before.

--- a/linker/keeper.go
+++ b/linker/keeper.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"goldcreststack.example/goldcreststack/clocker"
 	"goldcreststack.example/goldcreststack/modeler"
 )
 
@@ -30,6 +31,8 @@
 	Wake <-chan struct{}
 	// Connect replaces the network.
 	Connect Connect
+	// Clock replaces the clock that counts suspensions of the host.
+	Clock func() modeler.Reading
 }
 
 // Run dials again after each loss until ctx ends.
@@ -64,6 +67,10 @@
 	if open == nil {
 		open = connect
 	}
+	clock := k.Clock
+	if clock == nil {
+		clock = clocker.New().Now
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	ended, woken := make(chan struct{}), make(chan bool, 1)
@@ -76,7 +83,7 @@
 			woken <- false
 		}
 	}()
-	l, err := dial(ctx, open, k.Address, k.Hello())
+	l, err := dial(ctx, open, clock, k.Address, k.Hello())
 	close(ended)
 	return l, <-woken && err != nil, err
 }
--- a/linker/keeper_test.go
+++ b/linker/keeper_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -119,3 +120,46 @@
 		assert.Assert(t, longest < 500*time.Millisecond, "%s between two dials", longest)
 	})
 }
+
+// Guards against a process that was suspended and acts on what had been sent to
+// it before: orders and permissions in the connection may have run out.
+func TestNothingIsTakenAfterSuspension(t *testing.T) {
+	send := make(chan struct{})
+	accepting := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		l, err := linker.Accept(w, r, modeler.Hello{Member: 2})
+		if err != nil {
+			return
+		}
+		for range send {
+			l.Send(&modeler.Message{Kind: modeler.QueryMessage})
+		}
+		<-l.Done()
+	}))
+	defer accepting.Close()
+	var suspended atomic.Int64
+	began := time.Now()
+	up := make(chan *linker.Link, 1)
+	keeper := linker.Keeper{
+		Address: strings.TrimPrefix(accepting.URL, "http://"),
+		Hello:   func() modeler.Hello { return modeler.Hello{Member: 1} },
+		Up: func(ctx context.Context, l *linker.Link) {
+			up <- l
+			<-ctx.Done()
+		},
+		Clock: func() modeler.Reading {
+			return modeler.Reading(time.Since(began) + time.Duration(suspended.Load()))
+		},
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go keeper.Run(ctx)
+	l := <-up
+	send <- struct{}{}
+	m := <-l.Receive()
+	assert.Equal(t, m.Kind, modeler.QueryMessage)
+	suspended.Store(int64(3 * time.Second))
+	send <- struct{}{}
+	_, open := <-l.Receive()
+	assert.Assert(t, !open, "a message was taken after a suspension of three seconds")
+	close(send)
+}
--- a/linker/link.go
+++ b/linker/link.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"goldcreststack.example/goldcreststack/classifier"
+	"goldcreststack.example/goldcreststack/clocker"
 	"goldcreststack.example/goldcreststack/modeler"
 )
 
@@ -43,6 +44,8 @@
 	out  chan *modeler.Message
 	done chan struct{}
 	once sync.Once
+	// clock counts suspensions of the host, which timers don't.
+	clock func() modeler.Reading
 	// Peer is what the other side said of itself first.
 	Peer modeler.Hello
 }
@@ -55,10 +58,10 @@
 
 // Dial opens a link to address and exchanges the first messages.
 func Dial(ctx context.Context, address string, hello modeler.Hello) (*Link, error) {
-	return dial(ctx, connect, address, hello)
+	return dial(ctx, connect, clocker.New().Now, address, hello)
 }
 
-func dial(ctx context.Context, connect Connect, address string, hello modeler.Hello) (*Link, error) {
+func dial(ctx context.Context, connect Connect, clock func() modeler.Reading, address string, hello modeler.Hello) (*Link, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	client := &http.Client{Transport: &http.Transport{DialContext: connect, DisableKeepAlives: true}}
@@ -66,7 +69,7 @@
 	if err != nil {
 		return nil, classifier.Wrap(classifier.ConnectFailed, err, address)
 	}
-	return start(ctx, conn, hello)
+	return start(ctx, conn, clock, hello)
 }
 
 // Accept upgrades an HTTP request to a link.
@@ -77,16 +80,18 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	return start(ctx, conn, hello)
+	return start(ctx, conn, clocker.New().Now, hello)
 }
 
-func start(ctx context.Context, conn *websocket.Conn, hello modeler.Hello) (*Link, error) {
+func start(ctx context.Context, conn *websocket.Conn, clock func() modeler.Reading, hello modeler.Hello) (*Link, error) {
 	conn.SetReadLimit(maxFrame)
 	l := &Link{
 		conn: conn,
 		in:   make(chan *modeler.Message, ringSize),
 		out:  make(chan *modeler.Message, ringSize),
 		done: make(chan struct{}),
+
+		clock: clock,
 	}
 	if err := l.greet(ctx, hello); err != nil {
 		l.Close()
@@ -145,7 +150,9 @@
 	})
 }
 
-// read is the goroutine that takes messages off the connection.
+// read is the goroutine that takes messages off the connection. A message that
+// comes after a silence is not handed on: the process may have been suspended,
+// and what waited in the connection meanwhile is out of date.
 func (l *Link) read() {
 	defer close(l.in)
 	defer l.Close()
@@ -154,9 +161,10 @@
 	defer watch.Stop()
 	for {
 		watch.Reset(silence)
+		began := l.clock()
 		m, err := l.readMessage(context.Background())
 		watch.Stop()
-		if err != nil {
+		if err != nil || l.clock().Sub(began) > silence {
 			return
 		}
 		if m.Kind == modeler.PingMessage {
