The leader's own work in a large cell, and refusals while it is behind

In memory BenchmarkLeader spent a third of its time on questions to the outside policy: each looked at all workers and sorted all that have room, to name thirty. Besides, each pass looked at all workers for renewals that are due, a new leader compared all workers with all others by address, each count of a queue looked at all flows, and starts and ends made 400 entries of the log a second, each a message to eight members and an answer.

Change: the thirty best are kept while looking; workers without a renewal under way stand in a list; addresses in a map; the state machine counts pending flows; the time between two entries grows with the members (9 ms for 9 in place of 5; 5 members stay at 5), orders and answers are handed over every 10 ms in place of 5; control processes collect garbage later.

A leader whose events wait longer than a second says so to all processes, and they refuse new flows at once with queue-full, not run, until the wait is below 250 ms: dispatcher.Overload. TestOverloadedLeaderRefuses plays flows that come faster than the leader takes them in: accepted ones begin within the three seconds that callers try, which they don't without refusals.

--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -15,9 +15,9 @@
 	// carried: each worker costs it about 0.04% of a core in calls of its own,
 	// and a carried order takes two trips between failure domains more.
 	WorkersFrom = 400
-	// batchEvery is the time between two batches to one process: short against
-	// the objectives of urgent work, and long enough for a dozen orders.
-	batchEvery = 5 * time.Millisecond
+	// batchEvery is the time between two batches to the processes: short against
+	// the objectives of urgent work, and long enough for several orders each.
+	batchEvery = 10 * time.Millisecond
 	// answerSlack is how long after its own timeout the answer to an order may
 	// still come: the silence after which a link is closed.
 	answerSlack = time.Second
--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -114,5 +114,5 @@
 		}
 		messages += len(c.Take(modeler.Reading(at)))
 	}
-	assert.Assert(t, messages <= 200, "%d messages for 4,000 orders", messages)
+	assert.Assert(t, messages <= 100, "%d messages for 4,000 orders", messages)
 }
--- a/controller/entries.go
+++ b/controller/entries.go
@@ -65,7 +65,8 @@
 	same := slices.EqualFunc(old.Members, status.Members.Members, func(address string, m modeler.Member) bool {
 		return address == m.Address
 	})
-	if same && old.Term == status.Term && old.Leads == (c.lead != nil) {
+	refuses := c.lead != nil && c.lead.flows != nil && c.lead.flows.refuses
+	if same && old.Term == status.Term && old.Leads == (c.lead != nil) && old.Refuses == refuses {
 		return
 	}
 	var members []string
@@ -76,6 +77,7 @@
 		Member:  c.shell.settings.Member,
 		Term:    status.Term,
 		Leads:   c.lead != nil,
+		Refuses: refuses,
 		Members: members,
 	}
 	c.hello.Store(&next)
--- a/controller/flows.go
+++ b/controller/flows.go
@@ -16,8 +16,9 @@
 	// flowOrdersMax bounds the orders under way; each takes a goroutine.
 	flowOrdersMax = 4096
 	// entryEvery is the time between two entries of the log with starts and
-	// ends: half of what a fast disk takes to sync one.
-	entryEvery = 5 * time.Millisecond
+	// ends, for each member: an entry costs the leader a message to every member
+	// and an answer, about 0.1% of a core for each entry a second.
+	entryEvery = time.Millisecond
 	// lanesFast is the part of the free processes that slow questions to the
 	// outside policy must leave for fast ones: one in lanesFast.
 	lanesFast = 4
@@ -40,6 +41,9 @@
 	// and carrier has those that other processes carry.
 	flying  int
 	carrier *carrier.Carrier
+	// overload decides whether new flows are refused.
+	overload dispatcher.Overload
+	refuses  bool
 	// starts and ends wait to be proposed together at nextEntry.
 	starts    []modeler.FlowStart
 	ends      []modeler.FlowEnd
@@ -80,7 +84,7 @@
 
 // act carries out what the dispatcher has decided.
 func (l *flowLead) act(ctx context.Context, now modeler.Reading) {
-	l.cell.Behind(l.core.behind(now))
+	l.noteLoad(now)
 	out := l.cell.Output(now)
 	for i := range out.Orders {
 		l.send(ctx, out.Orders[i])
@@ -100,13 +104,24 @@
 	l.ask(now)
 }
 
+// noteLoad takes in how far the leader is behind, and tells the other processes
+// when it begins or ceases to refuse new flows.
+func (l *flowLead) noteLoad(now modeler.Reading) {
+	behind := l.core.behind(now)
+	l.cell.Behind(behind)
+	if refuses := l.overload.Note(behind); refuses != l.refuses {
+		l.refuses = refuses
+		l.core.shell.settings.Report.Warn("load changes", "refuses", refuses, "behind", behind.String(), "events", len(l.core.shell.events))
+	}
+}
+
 // record proposes the starts and ends that wait. Each entry of the log costs a
 // message to every member, so those of a few milliseconds share one.
 func (l *flowLead) record(now modeler.Reading) {
 	if len(l.ends) > 0 {
 		ends := l.ends
 		l.ends = nil
-		l.nextEntry = now.Add(entryEvery)
+		l.nextEntry = now.Add(l.entryPause())
 		command := &modeler.Command{Kind: modeler.EndFlows, Finishes: ends}
 		err := l.core.propose(now, command, func(modeler.Result) { l.cell.Recorded(l.core.shell.now(), ends, true) })
 		if err != nil {
@@ -116,7 +131,7 @@
 	if len(l.starts) > 0 {
 		starts := l.starts
 		l.starts = nil
-		l.nextEntry = now.Add(entryEvery)
+		l.nextEntry = now.Add(l.entryPause())
 		l.core.shell.counts.placements.Add(len(starts))
 		command := &modeler.Command{Kind: modeler.StartFlows, Starts: starts}
 		err := l.core.propose(now, command, func(modeler.Result) { l.cell.Committed(l.core.shell.now(), starts) })
@@ -126,6 +141,11 @@
 	}
 }
 
+// entryPause returns the time between two entries.
+func (l *flowLead) entryPause() time.Duration {
+	return entryEvery * time.Duration(len(l.core.log.Summary().Members.Members))
+}
+
 // due returns when the next entry may be proposed or the next orders may be
 // handed over, if any wait.
 func (l *flowLead) due(other modeler.Reading) modeler.Reading {
@@ -315,7 +335,7 @@
 		return failed(classifier.New(classifier.UnknownService, "no queue is at %s%s", call.Host, call.Path)), nil
 	}
 	if call.Kind == modeler.CountCall || call.Kind == modeler.StateCall && rest == "" {
-		return modeler.Reply{Count: dispatcher.Pending(state, queue.ID())}, nil
+		return modeler.Reply{Count: state.Pending(queue.ID())}, nil
 	}
 	id := modeler.FlowID(rest)
 	held, known := state.Flow(id)
@@ -345,6 +365,9 @@
 	if known {
 		return modeler.Reply{}, nil
 	}
+	if l.refuses {
+		return failed(classifier.New(classifier.QueueFull, "the leader is behind with its work")), nil
+	}
 	if flow == nil {
 		return failed(classifier.New(classifier.Malformed, "the flow is missing")), nil
 	}
--- a/controller/leadership.go
+++ b/controller/leadership.go
@@ -95,7 +95,7 @@
 	l.tasks.Tick(now)
 	if l.flows != nil {
 		l.flows.stray(now, l.flows.carrier.Expire(now), "no answer came in time")
-		l.flows.cell.Behind(l.core.behind(now))
+		l.flows.noteLoad(now)
 		l.flows.cell.Tick(now, l.core.stamp())
 	}
 	l.core.tendMembers(now)
--- a/dispatcher/copy.go
+++ b/dispatcher/copy.go
@@ -19,7 +19,7 @@
 // attempts may run at once.
 func (d *Dispatcher) copySilent(now modeler.Reading) {
 	var silent []*host
-	for _, h := range d.hosts {
+	for _, h := range d.list {
 		if h.silent >= copyAfter && !h.gone {
 			silent = append(silent, h)
 		}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -39,6 +39,11 @@
 	began    modeler.Reading
 	stamp    modeler.Stamp
 	hosts    map[modeler.WorkerID]*host
+	// list holds the same hosts, and addresses those at each address.
+	list      []*host
+	addresses map[string][]*host
+	// renewals holds the hosts without a renewal under way.
+	renewals []*host
 	units    map[modeler.StepKey]*unit
 	// order holds the units by priority and due time.
 	order []*unit
@@ -94,15 +99,18 @@
 		units:     make(map[modeler.StepKey]*unit),
 		flows:     make(map[modeler.FlowID][]*unit),
 		runs:      make(map[modeler.FlowTask]*run),
+		addresses: make(map[string][]*host),
 		abandoned: make(map[modeler.FlowTask][]*run),
 		late:      make(map[trial]*run),
 		queues:    make(map[modeler.QueueID]*queueView),
 		changed:   true,
 		voided:    make(map[modeler.FlowTask]*host),
 	}
-	for id := range state.Workers() {
-		d.noteWorker(now, id)
+	for _, m := range state.Workers() {
+		h := d.addHost(now, m)
+		d.endFormer(now, h)
 	}
+	d.settings.Log("workers taken over", "count", len(d.list), "term", term)
 	state.Each(func(f *sequencer.Flow) { d.restore(now, f) })
 	return d
 }
@@ -143,7 +151,7 @@
 // Tick lets deadlines pass.
 func (d *Dispatcher) Tick(now modeler.Reading, stamp modeler.Stamp) {
 	d.stamp = stamp
-	for _, h := range d.hosts {
+	for _, h := range d.list {
 		d.tickHost(now, h)
 	}
 	d.copySilent(now)
@@ -153,9 +161,7 @@
 
 // Output decides what can be decided and returns what is to be done.
 func (d *Dispatcher) Output(now modeler.Reading) Output {
-	for _, h := range d.hosts {
-		d.renew(now, h)
-	}
+	d.renewAll(now)
 	if d.changed {
 		d.changed = false
 		if d.behind <= placeWithin {
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"goldcreststack.example/goldcreststack/modeler"
@@ -83,7 +84,9 @@
 	// orders of earlier leaders are refused and all attempts were listed.
 	known    bool
 	renewing bool
-	renewAt  modeler.Reading
+	// waits means that it stands among the hosts without a renewal.
+	waits   bool
+	renewAt modeler.Reading
 	// limit is the highest lease end that was sent.
 	limit modeler.WorkerClock
 	// cursor is the last end that is committed, and noted the last proposed.
@@ -156,13 +159,14 @@
 	h := d.hosts[id]
 	switch {
 	case h == nil:
-		d.addHost(now, m)
+		h = d.addHost(now, m)
 		d.settings.Log("worker known", "worker", id, "generation", m.Generation, "service", m.Service)
 	case h.machine.Generation != m.Generation:
 		d.settings.Log("worker restarted", "worker", id, "generation", m.Generation, "attempts", len(h.runs))
 		d.replaceHost(now, h, m)
 	default:
 		leaves := m.Leaving && !h.machine.Leaving
+		d.setAddress(h, h.machine.Address, m.Address)
 		h.machine = m
 		if leaves {
 			d.settings.Log("worker leaves", "worker", id, "remaining", m.Remaining.String(), "attempts", len(h.runs))
@@ -170,7 +174,7 @@
 			d.evacuate(now, h)
 		}
 	}
-	d.endFormer(now, m)
+	d.endFormer(now, d.hosts[id])
 }
 
 func (d *Dispatcher) addHost(now modeler.Reading, m modeler.Machine) *host {
@@ -187,16 +191,51 @@
 	if m.Leaving {
 		h.leaveAt = now.Add(m.Remaining)
 	}
+	d.removeHost(m.ID)
 	d.hosts[m.ID] = h
+	d.list = append(d.list, h)
+	d.setAddress(h, "", m.Address)
+	d.wantRenewal(h)
 	return h
 }
 
-// endFormer ends the workers that had the address before: one process
-// listens there at a time.
-func (d *Dispatcher) endFormer(now modeler.Reading, m modeler.Machine) {
-	for id, other := range d.hosts {
-		if id != m.ID && other.machine.Address == m.Address && other.machine.Generation < m.Generation {
+func (d *Dispatcher) removeHost(id modeler.WorkerID) {
+	h := d.hosts[id]
+	if h == nil {
+		return
+	}
+	delete(d.hosts, id)
+	d.list = slices.DeleteFunc(d.list, func(other *host) bool { return other == h })
+	d.setAddress(h, h.machine.Address, "")
+}
+
+// setAddress notes that a host's address has changed; empty means none.
+func (d *Dispatcher) setAddress(h *host, from, to string) {
+	if from == to {
+		return
+	}
+	if from != "" {
+		rest := slices.DeleteFunc(d.addresses[from], func(other *host) bool { return other == h })
+		if len(rest) == 0 {
+			delete(d.addresses, from)
+		} else {
+			d.addresses[from] = rest
+		}
+	}
+	if to != "" {
+		d.addresses[to] = append(d.addresses[to], h)
+	}
+}
+
+// endFormer ends the workers that had the address of a host before: one
+// process listens there at a time.
+func (d *Dispatcher) endFormer(now modeler.Reading, h *host) {
+	for _, other := range d.addresses[h.machine.Address] {
+		switch {
+		case other.machine.Generation < h.machine.Generation:
 			d.lose(now, other, "another worker has its address")
+		case other.machine.Generation > h.machine.Generation:
+			d.lose(now, h, "another worker has its address")
 		}
 	}
 }
@@ -239,7 +278,7 @@
 	}
 	d.settings.Log("worker departed", "worker", id, "attempts", len(h.runs))
 	d.lose(now, h, "the worker has left")
-	delete(d.hosts, id)
+	d.removeHost(id)
 }
 
 // lose ends all attempts of a worker that has ended for certain.
@@ -315,6 +354,28 @@
 	}
 }
 
+// wantRenewal notes that a host has no renewal under way.
+func (d *Dispatcher) wantRenewal(h *host) {
+	if !h.waits {
+		h.waits = true
+		d.renewals = append(d.renewals, h)
+	}
+}
+
+// renewAll sends the renewals that are due.
+func (d *Dispatcher) renewAll(now modeler.Reading) {
+	rest := d.renewals[:0]
+	for _, h := range d.renewals {
+		d.renew(now, h)
+		h.waits = !h.renewing && !h.gone && d.hosts[h.machine.ID] == h
+		if h.waits {
+			rest = append(rest, h)
+		}
+	}
+	clear(d.renewals[len(rest):])
+	d.renewals = rest
+}
+
 // renew sends the next renewal to a worker whose last one was answered. Ends
 // that are listed but not committed come first, so that the renewal
 // acknowledges them.
@@ -383,6 +444,7 @@
 		return
 	}
 	h.renewing = false
+	d.wantRenewal(h)
 	if a.Fate == modeler.FateElsewhere || a.Fate == modeler.FateAccepted && a.Generation != 0 && a.Generation != o.Generation {
 		if a.Fate == modeler.FateElsewhere || a.Generation > o.Generation {
 			// The announcement of the new generation ends what is left here.
@@ -605,7 +667,7 @@
 		return
 	}
 	suspects := 0
-	for _, other := range d.hosts {
+	for _, other := range d.list {
 		if other.suspect(now) {
 			suspects++
 		}
--- a/dispatcher/late_test.go
+++ b/dispatcher/late_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"goldcreststack.example/goldcreststack/dispatcher"
 	"goldcreststack.example/goldcreststack/modeler"
 )
 
@@ -108,3 +109,70 @@
 	}
 	assert.Assert(t, seen, "no worker was out of reach for long enough to be given up")
 }
+
+// behind returns how long the oldest event waits.
+func (r *rig) behind() time.Duration {
+	if len(r.inbox) == 0 {
+		return 0
+	}
+	return r.now.Sub(r.inbox[0].at)
+}
+
+// overloaded plays flows that come faster than the leader can take in what they
+// bring, and returns how long the accepted ones waited for their first start,
+// and how many were refused.
+func overloaded(t *testing.T, refuses bool) (longest time.Duration, refused int) {
+	r := newRig(t, 1)
+	r.cellOf(24, 32)
+	r.run(2 * time.Second)
+	r.rate = 2
+	var overload dispatcher.Overload
+	arrived := make(map[modeler.FlowID]modeler.Reading)
+	for i := range 400 {
+		id := modeler.FlowID(fmt.Sprintf("f%03d", i))
+		if overload.Note(r.behind()) && refuses {
+			refused++
+		} else {
+			arrived[id] = r.now
+			r.submit(flow(id, step(8, 1, 300*time.Millisecond)))
+		}
+		r.run(30 * time.Millisecond)
+	}
+	r.run(2 * time.Minute)
+	for id, at := range arrived {
+		assert.Equal(t, r.state1(id), modeler.FlowCompleted)
+		longest = max(longest, r.first[id].Sub(at))
+	}
+	assert.Assert(t, !overload.Note(r.behind()), "flows are refused after the load is over")
+	return longest, refused
+}
+
+// Guards against a leader that accepts what it can't begin while callers wait:
+// they try for three seconds, and what is refused at once they can hand in
+// again. Without refusals accepted flows wait for longer than that.
+func TestOverloadedLeaderRefuses(t *testing.T) {
+	const callersTry = 3 * time.Second
+	longest, refused := overloaded(t, true)
+	assert.Check(t, longest < callersTry, "an accepted flow waited %v", longest)
+	assert.Check(t, refused > 0 && refused < 400, "%d of 400 flows were refused", refused)
+	unbounded, _ := overloaded(t, false)
+	assert.Check(t, unbounded > callersTry, "the load needs no refusals: %v", unbounded)
+}
+
+// Guards against refusals that come and go with each event.
+func TestOverloadEndsLate(t *testing.T) {
+	var o dispatcher.Overload
+	for _, c := range []struct {
+		behind  time.Duration
+		refuses bool
+	}{
+		{0, false},
+		{900 * time.Millisecond, false},
+		{1100 * time.Millisecond, true},
+		{500 * time.Millisecond, true},
+		{200 * time.Millisecond, false},
+		{500 * time.Millisecond, false},
+	} {
+		assert.Equal(t, o.Note(c.behind), c.refuses, "behind %v", c.behind)
+	}
+}
--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -95,8 +95,8 @@
 func (d *Dispatcher) candidates(now modeler.Reading, u *unit) []modeler.WorkerID {
 	need := charge(u.step)
 	first := len(u.permits)+len(u.denied) == 0
-	var all []candidate
-	for _, h := range d.hosts {
+	best := make([]candidate, 0, askMax+1)
+	for _, h := range d.list {
 		id := h.machine.ID
 		if u.denied[id] || h.machine.Service != u.policy.Service || !d.usable(now, h) {
 			continue
@@ -112,27 +112,23 @@
 		if tasks == 0 && !first {
 			continue
 		}
-		all = append(all, candidate{
+		c := candidate{
 			host: h, tasks: tasks, known: known,
 			awkward: d.score(u, h) >= awkward,
 			offer:   d.offer(u, h, tasks),
-		})
-	}
-	slices.SortFunc(all, func(a, b candidate) int {
-		if a.known != b.known && (a.tasks > 0) == (b.tasks > 0) {
-			return trueFirst(a.known)
 		}
-		if a.awkward != b.awkward {
-			return trueFirst(b.awkward)
+		at, _ := slices.BinarySearchFunc(best, c, compareCandidates)
+		if at < askMax {
+			best = slices.Insert(best, at, c)
+			best = best[:min(len(best), askMax)]
 		}
-		return cmp.Or(-cmp.Compare(a.offer, b.offer), cmp.Compare(a.host.machine.ID, b.host.machine.ID))
-	})
+	}
 	share := d.queue(u.flow.Spec.Queue).allowed
 	want := spare * float64(len(u.waiting))
 	var names []modeler.WorkerID
 	expected := 0.0
-	for _, c := range all {
-		if len(names) >= askMax || expected >= want && (len(names) >= askMin || all[0].known) {
+	for _, c := range best {
+		if expected >= want && (len(names) >= askMin || best[0].known) {
 			break
 		}
 		names = append(names, c.host.machine.ID)
@@ -145,6 +141,17 @@
 	return names
 }
 
+// compareCandidates puts those first that a question should name.
+func compareCandidates(a, b candidate) int {
+	if a.known != b.known && (a.tasks > 0) == (b.tasks > 0) {
+		return trueFirst(a.known)
+	}
+	if a.awkward != b.awkward {
+		return trueFirst(b.awkward)
+	}
+	return cmp.Or(-cmp.Compare(a.offer, b.offer), cmp.Compare(a.host.machine.ID, b.host.machine.ID))
+}
+
 // trueFirst orders two candidates that differ in a property, of which the
 // first one has it or not.
 func trueFirst(has bool) int {
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"goldcreststack.example/goldcreststack/modeler"
-	"goldcreststack.example/goldcreststack/sequencer"
 )
 
 const (
@@ -80,7 +79,7 @@
 // racks lists the racks that have workers of the step's service.
 func (d *Dispatcher) racks(u *unit) []modeler.RackName {
 	var out []modeler.RackName
-	for _, h := range d.hosts {
+	for _, h := range d.list {
 		if h.machine.Service == u.policy.Service && !slices.Contains(out, h.machine.Rack) {
 			out = append(out, h.machine.Rack)
 		}
@@ -175,7 +174,7 @@
 		}
 	}
 	if u.policy.Permits == nil {
-		for _, h := range d.hosts {
+		for _, h := range d.list {
 			consider(h)
 		}
 		return best
@@ -244,14 +243,3 @@
 		}
 	}
 }
-
-// Pending counts the flows of a queue of which no task has started.
-func Pending(state *sequencer.Sequencer, queue modeler.QueueID) int {
-	n := 0
-	state.Each(func(f *sequencer.Flow) {
-		if f.State == modeler.FlowPending && f.Spec.Queue == queue {
-			n++
-		}
-	})
-	return n
-}
--- a/dispatcher/rig_test.go
+++ b/dispatcher/rig_test.go
@@ -254,6 +254,7 @@
 			r.cell.Announce(r.now, &w.machine)
 		}
 	}
+	r.cell.Behind(r.behind())
 	if time.Duration(r.now)%(100*time.Millisecond) == 0 {
 		r.cell.Tick(r.now, r.stamp())
 	}
--- a/follower/client.go
+++ b/follower/client.go
@@ -175,6 +175,14 @@
 	return c.leaderLocked()
 }
 
+// Refuses reports whether the leader accepts no new flows for now.
+func (c *Client) Refuses() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.leaderLocked()
+	return l != nil && c.peers[l].Refuses
+}
+
 func (c *Client) leaderLocked() *linker.Link {
 	var found *linker.Link
 	var term modeler.Term
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -33,6 +33,10 @@
 	// memoryShare is the percentage of the memory limit at which the runtime
 	// collects more eagerly; the rest is for stacks and unread bytes.
 	memoryShare = 70
+	// collectAt is how many percent of the live heap may be allocated before the
+	// runtime collects: a leader allocates for each order and answer, and has
+	// memory to spare but no processor. The memory limit goes before it.
+	collectAt = 300
 	// leaveDelay is how long a stopping process still takes requests: two
 	// probes a second apart take it out of rotation.
 	leaveDelay = 2500 * time.Millisecond
@@ -131,6 +135,9 @@
 
 // limits keeps the runtime within the host's memory.
 func limits(node *platform.Node) {
+	if node.Control != "" {
+		debug.SetGCPercent(collectAt)
+	}
 	if node.Memory > 0 {
 		debug.SetMemoryLimit(int64(node.Memory) * memoryShare / 100)
 	}
--- a/modeler/message.go
+++ b/modeler/message.go
@@ -64,6 +64,8 @@
 	// Carries is where the sender accepts links if it carries the leader's
 	// orders to workers; empty if it doesn't.
 	Carries string `cbor:"8,keyasint,omitempty"`
+	// Refuses says that the leader accepts no new flows for now.
+	Refuses bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Renew asks the leader to renew the session of an entry host and tells what
--- a/relayer/carry.go
+++ b/relayer/carry.go
@@ -14,7 +14,7 @@
 	carryMost = 2048
 	// answerEvery is the time over which answers are collected for one message
 	// to the leader.
-	answerEvery = 5 * time.Millisecond
+	answerEvery = 10 * time.Millisecond
 )
 
 // carriedAnswer is an answer on its way to the leader that sent the order.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -197,6 +197,9 @@
 }
 
 func (r *Relayer) call(ctx context.Context, call *modeler.Call) (*modeler.Reply, error) {
+	if call.Kind == modeler.SubmitCall && r.client.Refuses() {
+		return nil, classifier.New(classifier.QueueFull, "the leader is behind with its work")
+	}
 	ctx, cancel := context.WithTimeout(ctx, patience(call))
 	defer cancel()
 	sent := false
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -262,3 +262,32 @@
 	assert.Equal(t, carry(modeler.Order{Worker: "w3", Term: 4, Timeout: 400 * time.Millisecond}).Fate, modeler.FateStale)
 	assert.DeepEqual(t, sent, []modeler.WorkerID{"w1"})
 }
+
+// Guards against submissions that wait for a leader which can't take them: they
+// are refused at once, and nothing is sent.
+func TestOverloadedLeaderIsNotAsked(t *testing.T) {
+	m := newMember(t, 1)
+	m.answer = func(*modeler.Message) *modeler.Message {
+		return &modeler.Message{Kind: modeler.ReplyMessage, Reply: &modeler.Reply{}}
+	}
+	r := relayer.New(relayer.Settings{Name: "e", Report: reporter.New(reporter.Options{Role: "entry", Name: "e", Out: io.Discard})})
+	m.mu.Lock()
+	m.hello.Refuses = true
+	m.mu.Unlock()
+	m.lead(5, true)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	r.Keep(ctx, []string{m.address})
+	for !r.Reached() {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := r.Call(ctx, &modeler.Call{Kind: modeler.SubmitCall, Wait: 3 * time.Second})
+	assert.Equal(t, classifier.KindOf(err), classifier.QueueFull)
+	assert.Equal(t, classifier.KindOf(err).Answer().Outcome, classifier.NotRun)
+	m.mu.Lock()
+	assert.Equal(t, m.calls, 0)
+	m.mu.Unlock()
+	// What was accepted before is still told.
+	_, err = r.Call(ctx, &modeler.Call{Kind: modeler.StateCall, Wait: 3 * time.Second})
+	assert.NilError(t, err)
+}
--- a/sequencer/sequencer.go
+++ b/sequencer/sequencer.go
@@ -148,6 +148,8 @@
 	layout  modeler.Layout
 	flows   map[modeler.FlowID]*Flow
 	workers map[modeler.WorkerID]modeler.Machine
+	// pending counts the flows of each queue of which no task has started.
+	pending map[modeler.QueueID]int
 	ended   []ended
 	changes []Change
 }
@@ -157,6 +159,7 @@
 	return &Sequencer{
 		flows:   make(map[modeler.FlowID]*Flow),
 		workers: make(map[modeler.WorkerID]modeler.Machine),
+		pending: make(map[modeler.QueueID]int),
 	}
 }
 
@@ -169,6 +172,20 @@
 	return f, found
 }
 
+// Pending counts the flows of a queue of which no task has started.
+func (s *Sequencer) Pending(queue modeler.QueueID) int { return s.pending[queue] }
+
+// setState changes a flow's state.
+func (s *Sequencer) setState(f *Flow, state modeler.FlowState) {
+	if f.State == modeler.FlowPending {
+		s.pending[f.Spec.Queue]--
+		if s.pending[f.Spec.Queue] == 0 {
+			delete(s.pending, f.Spec.Queue)
+		}
+	}
+	f.State = state
+}
+
 // Each visits every flow.
 func (s *Sequencer) Each(visit func(*Flow)) {
 	for _, f := range s.flows {
@@ -255,6 +272,7 @@
 	f.Open = f.width * f.Occurrences()
 	f.Tasks = make([]Task, f.Open)
 	s.flows[spec.ID] = f
+	s.pending[spec.Queue]++
 	s.note(Change{Kind: FlowAdded, Flow: spec.ID})
 	return modeler.Result{}
 }
@@ -323,7 +341,7 @@
 
 // finish ends a flow; its attempts occupy their workers until they end.
 func (s *Sequencer) finish(now modeler.Stamp, f *Flow, state modeler.FlowState) {
-	f.State = state
+	s.setState(f, state)
 	f.Ended = now
 	s.ended = append(s.ended, ended{id: f.Spec.ID, at: now})
 	s.note(Change{Kind: FlowOver, Flow: f.Spec.ID})
@@ -376,7 +394,7 @@
 		t.Worker = start.Worker
 		t.Generation = start.Generation
 		f.Occupied++
-		f.State = modeler.FlowRunning
+		s.setState(f, modeler.FlowRunning)
 		s.note(Change{Kind: AttemptStarted, Flow: start.Task.Flow, Start: start})
 	}
 	return modeler.Result{}
--- a/sequencer/snapshot.go
+++ b/sequencer/snapshot.go
@@ -44,6 +44,9 @@
 			f.index()
 		}
 		s.flows[f.Spec.ID] = f
+		if f.State == modeler.FlowPending {
+			s.pending[f.Spec.Queue]++
+		}
 		if f.Over() {
 			s.ended = append(s.ended, ended{id: f.Spec.ID, at: f.Ended})
 		}
