A worker that has left stays away, also after a change of the leader

And a departure names no generation: one that came late would have ended the next generation under the same name, whose tasks would have been started elsewhere while they ran on.

A departure of a worker that has not said that it leaves is acknowledged and changes nothing either: if it did end, its silence and its leases tell. Workers that the leader believes lost may come back, as before.

TestLeftWorkersStayAway fails before in each of its three parts (run on the old state machine with Note in place of Leave: brought back, brought back after a restart, and ended).

--- a/applier/applier.go
+++ b/applier/applier.go
@@ -123,6 +123,7 @@
 	case modeler.EndFlows:
 		return a.flows.End(a.now, c.Finishes)
 	case modeler.NoteWorkers:
+		a.flows.Leave(a.now, c.Left)
 		return a.flows.Note(c.Machines, c.Departed)
 	default:
 		return modeler.Result{Kind: classifier.Internal, Detail: fmt.Sprintf("unknown command kind %d", c.Kind)}
--- a/controller/flows.go
+++ b/controller/flows.go
@@ -313,7 +313,7 @@
 		if _, known := l.core.state.Flows().Workers()[call.Machine.ID]; !known {
 			return modeler.Reply{}, nil
 		}
-		return modeler.Reply{}, &modeler.Command{Kind: modeler.NoteWorkers, Departed: []modeler.WorkerID{call.Machine.ID}}
+		return modeler.Reply{}, &modeler.Command{Kind: modeler.NoteWorkers, Left: []modeler.WorkerID{call.Machine.ID}}
 	case modeler.JoinCall:
 		if call.Member == nil {
 			return failed(classifier.New(classifier.Malformed, "the member is missing")), nil
--- a/modeler/command.go
+++ b/modeler/command.go
@@ -51,7 +51,10 @@
 	Starts   []FlowStart `cbor:"15,keyasint,omitempty"`
 	Finishes []FlowEnd   `cbor:"16,keyasint,omitempty"`
 	Machines []Machine   `cbor:"17,keyasint,omitempty"`
-	Departed []WorkerID  `cbor:"18,keyasint,omitempty"`
+	// Departed workers are lost as far as the leader knows; those in Left have
+	// said that they leave.
+	Departed []WorkerID `cbor:"18,keyasint,omitempty"`
+	Left     []WorkerID `cbor:"19,keyasint,omitempty"`
 }
 
 // Claim reserves an idempotency key for one entry process before it sends
--- a/sequencer/sequencer.go
+++ b/sequencer/sequencer.go
@@ -150,16 +150,28 @@
 	workers map[modeler.WorkerID]modeler.Machine
 	// pending counts the flows of each queue of which no task has started.
 	pending map[modeler.QueueID]int
+	// left holds the generations of workers that have left for good, by the
+	// time at which they may be forgotten.
+	left    map[modeler.WorkerID]Left
 	ended   []ended
 	changes []Change
 }
 
+// Left is the last generation of a worker that has left.
+type Left struct {
+	_          struct{} `cbor:",toarray"`
+	Worker     modeler.WorkerID
+	Generation modeler.Generation
+	At         modeler.Stamp
+}
+
 // New returns the empty state.
 func New() *Sequencer {
 	return &Sequencer{
 		flows:   make(map[modeler.FlowID]*Flow),
 		workers: make(map[modeler.WorkerID]modeler.Machine),
 		pending: make(map[modeler.QueueID]int),
+		left:    make(map[modeler.WorkerID]Left),
 	}
 }
 
@@ -359,8 +371,31 @@
 	f.first = nil
 }
 
+// Leave records workers that have left. Their late announcements bring them
+// back at no member, also after a change of the leader. A departure that comes
+// for a worker that does not leave is that of an earlier generation under its
+// name, and changes nothing.
+func (s *Sequencer) Leave(now modeler.Stamp, ids []modeler.WorkerID) {
+	for _, id := range ids {
+		m, known := s.workers[id]
+		if !known || !m.Leaving {
+			continue
+		}
+		if m.Generation != 0 {
+			s.left[id] = Left{Worker: id, Generation: m.Generation, At: now}
+		}
+		delete(s.workers, id)
+		s.note(Change{Kind: WorkerDeparted, Worker: id})
+	}
+}
+
 // Expire drops the flows that ended long ago.
 func (s *Sequencer) Expire(now modeler.Stamp) {
+	for id, l := range s.left {
+		if l.At.Add(keepEnded) < now {
+			delete(s.left, id)
+		}
+	}
 	for len(s.ended) > 0 && s.ended[0].at.Add(keepEnded) < now {
 		f := s.flows[s.ended[0].id]
 		if f != nil && f.Occupied > 0 {
@@ -561,6 +596,9 @@
 		if known && m.Generation < held.Generation {
 			continue
 		}
+		if l, gone := s.left[m.ID]; gone && m.Generation <= l.Generation {
+			continue
+		}
 		if known && m.Generation == held.Generation && held.Leaving {
 			m.Leaving = true
 		}
--- a/sequencer/sequencer_test.go
+++ b/sequencer/sequencer_test.go
@@ -237,3 +237,51 @@
 		assert.Check(t, sequencer.Check(f) != nil, name)
 	}
 }
+
+// Guards against a worker that has left and is in use again: its late
+// announcements are ignored, after a restart from a snapshot as well, until a
+// new generation comes. A late departure ends no newer generation.
+func TestLeftWorkersStayAway(t *testing.T) {
+	machine := func(generation modeler.Generation, leaving bool) []modeler.Machine {
+		return []modeler.Machine{{ID: "v", Generation: generation, Address: "a:2", Service: "s", Leaving: leaving}}
+	}
+	s := newState()
+	s.Note(machine(7, false), nil)
+	s.Note(machine(7, true), nil)
+	s.Leave(10, []modeler.WorkerID{"v"})
+	s.Note(machine(7, false), nil)
+	_, used := s.Workers()["v"]
+	assert.Assert(t, !used, "a late announcement brought it back")
+
+	saved := s.Copy()
+	fresh := sequencer.New()
+	fresh.Load(&saved)
+	fresh.Note(machine(7, false), nil)
+	_, used = fresh.Workers()["v"]
+	assert.Assert(t, !used, "a late announcement brought it back after a restart")
+
+	fresh.Note(machine(8, false), nil)
+	fresh.Leave(20, []modeler.WorkerID{"v"})
+	_, used = fresh.Workers()["v"]
+	assert.Assert(t, used, "a late departure ended the next generation")
+}
+
+// Guards against counts that go wrong with the states of flows, or with a
+// snapshot.
+func TestPendingCounts(t *testing.T) {
+	s := newState()
+	for _, id := range []modeler.FlowID{"f", "g", "h"} {
+		s.Submit(1, oneStep(id, 1))
+	}
+	queue := oneStep("f", 1).Queue
+	assert.Equal(t, s.Pending(queue), 3)
+	s.Start(start("f", 0, 1))
+	s.Cancel(3, "g")
+	assert.Equal(t, s.Pending(queue), 1)
+	saved := s.Copy()
+	fresh := sequencer.New()
+	fresh.Load(&saved)
+	assert.Equal(t, fresh.Pending(queue), 1)
+	fresh.Cancel(4, "h")
+	assert.Equal(t, fresh.Pending(queue), 0)
+}
--- a/sequencer/snapshot.go
+++ b/sequencer/snapshot.go
@@ -12,6 +12,7 @@
 	Layout  modeler.Layout    `cbor:"1,keyasint"`
 	Flows   []Flow            `cbor:"2,keyasint"`
 	Workers []modeler.Machine `cbor:"3,keyasint"`
+	Left    []Left            `cbor:"4,keyasint,omitempty"`
 }
 
 // Copy returns a copy that shares only what is never changed in place.
@@ -25,6 +26,9 @@
 	for _, m := range s.workers {
 		out.Workers = append(out.Workers, m)
 	}
+	for _, l := range s.left {
+		out.Left = append(out.Left, l)
+	}
 	return out
 }
 
@@ -32,6 +36,7 @@
 func (s *Saved) Sort() {
 	slices.SortFunc(s.Flows, func(a, b Flow) int { return cmp.Compare(a.Spec.ID, b.Spec.ID) })
 	slices.SortFunc(s.Workers, func(a, b modeler.Machine) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(s.Left, func(a, b Left) int { return cmp.Compare(a.Worker, b.Worker) })
 }
 
 // Load replaces the state by a saved one.
@@ -55,4 +60,7 @@
 	for _, m := range saved.Workers {
 		s.workers[m.ID] = m
 	}
+	for _, l := range saved.Left {
+		s.left[l.Worker] = l
+	}
 }
