--- a/controller/report.go
+++ b/controller/report.go
@@ -68,19 +68,26 @@
 
 // view is what the core shows of itself in the metrics and the dump.
 type view struct {
-	Role      string                    `json:"role"`
-	Term      modeler.Term              `json:"term"`
-	Leader    modeler.MemberID          `json:"leader"`
-	Commit    modeler.Index             `json:"commit"`
-	Applied   modeler.Index             `json:"applied"`
-	Synced    modeler.Index             `json:"synced"`
-	Snapshot  modeler.Index             `json:"snapshot"`
-	Version   modeler.Index             `json:"version"`
-	Full      bool                      `json:"full"`
-	Waiting   int                       `json:"waiting"`
-	Events    int                       `json:"events"`
-	Records   int                       `json:"records"`
-	Running   int                       `json:"running"`
+	Role     string           `json:"role"`
+	Term     modeler.Term     `json:"term"`
+	Leader   modeler.MemberID `json:"leader"`
+	Commit   modeler.Index    `json:"commit"`
+	Applied  modeler.Index    `json:"applied"`
+	Synced   modeler.Index    `json:"synced"`
+	Snapshot modeler.Index    `json:"snapshot"`
+	Version  modeler.Index    `json:"version"`
+	Full     bool             `json:"full"`
+	Waiting  int              `json:"waiting"`
+	Events   int              `json:"events"`
+	Records  int              `json:"records"`
+	Running  int              `json:"running"`
+	// Behind is how long the oldest event has waited for the core goroutine.
+	Behind modeler.Duration `json:"behind"`
+	// Carried counts the orders that other processes carry, Carriers those
+	// processes, and Refuses says that new flows are refused.
+	Carried   int                       `json:"carried"`
+	Carriers  int                       `json:"carriers"`
+	Refuses   bool                      `json:"refuses"`
 	Members   []modeler.MemberStatus    `json:"members"`
 	Sessions  []allocator.SessionStatus `json:"sessions"`
 	Workers   []allocator.WorkerStatus  `json:"workers"`
@@ -116,11 +123,15 @@
 		Full:     c.full,
 		Waiting:  len(c.waiting),
 		Events:   len(c.shell.events),
+		Behind:   modeler.Duration(c.behind(now)),
 		Records:  c.state.Records().Len(),
 		Members:  c.memberStatuses(now, log),
 	}
 	if c.lead != nil {
 		v.Running = c.lead.tasks.Running()
+		if flows := c.lead.flows; flows != nil {
+			v.Carried, v.Carriers, v.Refuses = flows.carrier.Flying(), flows.carrier.Ready(), flows.refuses
+		}
 	}
 	if c.lead != nil && lists {
 		v.Sessions = c.lender.Sessions()
@@ -156,6 +167,10 @@
 	gauge("disk_full", func(v view) float64 { return truth(v.Full) })
 	gauge("records", func(v view) float64 { return float64(v.Records) })
 	gauge("tasks_running", func(v view) float64 { return float64(v.Running) })
+	gauge("behind_seconds", func(v view) float64 { return v.Behind.Span().Seconds() })
+	gauge("carried_orders", func(v view) float64 { return float64(v.Carried) })
+	gauge("carriers", func(v view) float64 { return float64(v.Carriers) })
+	gauge("refuses_flows", func(v view) float64 { return truth(v.Refuses) })
 	r.Section("control", func() any {
 		ctx, cancel := context.WithTimeout(ctx, lookWithin)
 		defer cancel()
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"os/signal"
 	"runtime/debug"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -246,6 +248,16 @@
 	return modeler.MemberID(xxhash.Sum64String(address)>>1 | 1)
 }
 
+// serverLog passes what the HTTP server says on to the structured log, such as
+// a connection that could not be accepted for want of a descriptor.
+type serverLog struct{ report *reporter.Reporter }
+
+// Write takes one line.
+func (s serverLog) Write(line []byte) (int, error) {
+	s.report.Warn("http server", "error", strings.TrimSpace(string(line)))
+	return len(line), nil
+}
+
 // run serves the handlers until ctx ends, then stops in order: first out of
 // rotation, then no new requests, then the links.
 func (h *host) run(ctx context.Context, c *controller.Controller, handlers map[string]http.Handler) error {
@@ -259,7 +271,11 @@
 		if err != nil {
 			return classifier.Wrap(classifier.Internal, err, "listen on "+address)
 		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: 3 * time.Second}
+		server := &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: 3 * time.Second,
+			ErrorLog:          log.New(serverLog{h.report}, "", 0),
+		}
 		servers = append(servers, server)
 		group.Go(func() error {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
