A leader whose disk is full hands its office over

While its disk is full, a leader hands its office to the voter with the most entries, and tries again with each tick. TestFullDiskCostsTheLeadership: without the change the test does not end (nothing is accepted while the leader's disk is full, and a member whose disk stays full can't end either; the test gives it room at its end now).

--- a/controller/core.go
+++ b/controller/core.go
@@ -187,6 +187,7 @@
 		return
 	}
 	c.nextTick = now.Add(leadEvery)
+	c.leaveFullDisk(now)
 	c.lender.Tick(now)
 	c.lead.tick(now)
 }
--- /dev/null
+++ b/controller/full_test.go
@@ -0,0 +1,93 @@
+package controller_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"goldcreststack.example/goldcreststack/modeler"
+	"goldcreststack.example/goldcreststack/relayer"
+	"goldcreststack.example/goldcreststack/reporter"
+	"goldcreststack.example/goldcreststack/storer"
+)
+
+// fillable returns a disk whose log takes no more bytes while full is set.
+func fillable(full *atomic.Bool) *storer.Disk {
+	disk := storer.SystemDisk()
+	create := disk.Create
+	disk.Create = func(path string) (storer.File, error) {
+		file, err := create(path)
+		if err != nil || !strings.HasPrefix(filepath.Base(path), "log-") {
+			return file, err
+		}
+		write := file.WriteAt
+		file.WriteAt = func(data []byte, offset int64) (int, error) {
+			if full.Load() {
+				return 0, syscall.ENOSPC
+			}
+			return write(data, offset)
+		}
+		return file, nil
+	}
+	return &disk
+}
+
+// Guards against a cell that accepts nothing while the leader's disk is full:
+// the other members' disks have room.
+func TestFullDiskCostsTheLeadership(t *testing.T) {
+	var listeners []net.Listener
+	var first []modeler.Member
+	var addresses []string
+	for id := range modeler.MemberID(3) {
+		l := listen(t, "127.0.0.1:0")
+		listeners = append(listeners, l)
+		addresses = append(addresses, l.Addr().String())
+		first = append(first, modeler.Member{ID: id + 1, Address: l.Addr().String()})
+	}
+	full := make([]atomic.Bool, len(first))
+	for i, l := range listeners {
+		startPeer(t, first[i].ID, l, first, false, fillable(&full[i]))
+	}
+	// A member with a full disk can't end while it waits to save its vote.
+	t.Cleanup(func() {
+		for i := range full {
+			full[i].Store(false)
+		}
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	r := relayer.New(relayer.Settings{Name: "test", Report: reporter.New(reporter.Options{Role: "entry", Name: "test", Out: io.Discard})})
+	go func() { _ = r.Run(ctx) }()
+	r.Keep(ctx, addresses)
+	assert.Assert(t, admitted(ctx, r, first[0], recovery), "no leader")
+
+	number := modeler.TicketNumber(0)
+	accepted := func(within time.Duration) bool {
+		number++
+		for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			layout := &modeler.Layout{Number: number, Document: []byte("{}")}
+			if _, err := r.Call(ctx, &modeler.Call{Kind: modeler.SetLayoutCall, Layout: layout}); err == nil {
+				return true
+			}
+		}
+		return false
+	}
+	assert.Assert(t, accepted(recovery))
+	// One of the three leads.
+	for i := range full {
+		full[i].Store(true)
+		for range 3 {
+			assert.Assert(t, accepted(recovery), "nothing is accepted while the disk of member %d is full", i+1)
+		}
+		full[i].Store(false)
+		assert.Assert(t, accepted(recovery), "nothing is accepted after the disk of member %d has room again", i+1)
+	}
+}
--- a/controller/joining_test.go
+++ b/controller/joining_test.go
@@ -16,6 +16,7 @@
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/relayer"
 	"goldcreststack.example/goldcreststack/reporter"
+	"goldcreststack.example/goldcreststack/storer"
 )
 
 const (
@@ -35,8 +36,9 @@
 
 // startPeer runs a member that begins the group or joins it until the returned
 // function is called, which waits for its end.
-func startPeer(t *testing.T, id modeler.MemberID, listener net.Listener, first []modeler.Member, join bool) func() {
+func startPeer(t *testing.T, id modeler.MemberID, listener net.Listener, first []modeler.Member, join bool, disk *storer.Disk) func() {
 	c, err := controller.New(controller.Settings{
+		Disk:   disk,
 		Member: id, Listener: listener, Advertise: listener.Addr().String(), Folder: filepath.Join(t.TempDir(), "data"),
 		First: modeler.Membership{Members: first}, Bootstrap: !join, Join: join,
 		ElectionMin: 400 * time.Millisecond, ElectionMax: 750 * time.Millisecond,
@@ -85,7 +87,7 @@
 	}
 	var stops []func()
 	for i, l := range listeners {
-		stops = append(stops, startPeer(t, first[i].ID, l, first, false))
+		stops = append(stops, startPeer(t, first[i].ID, l, first, false, nil))
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -96,7 +98,7 @@
 
 	stops[2]()
 	fresh := modeler.Member{ID: 33, Address: addresses[2]}
-	startPeer(t, fresh.ID, listen(t, fresh.Address), first, true)
+	startPeer(t, fresh.ID, listen(t, fresh.Address), first, true, nil)
 	assert.Assert(t, admitted(ctx, r, fresh, catchUp), "the new member is not admitted")
 	time.Sleep(catchUp)
 	stops[1]()
--- a/controller/transfer.go
+++ b/controller/transfer.go
@@ -19,6 +19,19 @@
 	c.leaving = e.done
 }
 
+// leaveFullDisk hands the leadership to a member whose disk has room. It is
+// tried again with each tick, until a voter can take over or the disk has room.
+func (c *core) leaveFullDisk(now modeler.Reading) {
+	if !c.full || c.log.Transferring() {
+		return
+	}
+	if err := c.log.Transfer(now, 0); err != nil {
+		c.shell.settings.Report.Debug("the leadership stays with a full disk", "error", err)
+		return
+	}
+	c.shell.settings.Report.Warn("leadership is handed over", "reason", "the disk is full")
+}
+
 // followHandOver notes the end of a transfer before a shutdown: when the new
 // leader is heard, by which time the answers of the old one have left.
 func (c *core) followHandOver(status replicator.Status) {
