Urgent steps get the room of less urgent tasks that can be resumed

Cause: on a cell that is nearly full, short urgent tasks waited for tasks of six seconds to end, though these keep their progress each half second.

Questions to the policy name workers on which room could be made when there are too few with room, beginning with another one each time; before, steps that found no room all named the same ten workers.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -60,6 +60,9 @@
 	out       Output
 	// changed says that a decision may be possible that was not before.
 	changed bool
+	// rotor is the place in list from which workers are named that could make
+	// room.
+	rotor int
 	// lossy is until when renewals wait for less.
 	lossy modeler.Reading
 	// meeting counts the first renewals under way.
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -557,8 +557,9 @@
 	}
 	r.seen = true
 	r.load = e.Load
-	if e.Saved != "" {
+	if e.Saved != "" && e.Saved != r.saved {
 		r.saved = e.Saved
+		r.savedAt = now
 	}
 	if e.Percent != r.percent {
 		r.percent = e.Percent
--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -97,19 +97,12 @@
 	first := len(u.permits)+len(u.denied) == 0
 	best := make([]candidate, 0, askMax+1)
 	for _, h := range d.list {
-		id := h.machine.ID
-		if u.denied[id] || h.machine.Service != u.policy.Service || !d.usable(now, h) {
-			continue
-		}
-		p, known := u.permits[id]
-		if known && p.until > now && p.generation == h.machine.Generation {
-			continue
-		}
-		if u.step.Label != "" && !slices.Contains(h.machine.Labels, u.step.Label) {
+		if !d.mayName(now, u, h) {
 			continue
 		}
+		_, known := u.permits[h.machine.ID]
 		tasks := d.capacity(u, h, need)
-		if tasks == 0 && !first {
+		if tasks == 0 {
 			continue
 		}
 		c := candidate{
@@ -138,9 +131,42 @@
 			expected += share * min(float64(c.tasks), 2+want/4)
 		}
 	}
+	if expected < want {
+		names = d.nameYielding(now, u, need, names)
+	}
+	if first && len(names) == 0 {
+		names = d.nameAny(now, u)
+	}
+	return names
+}
+
+// nameAny names workers without room for a step that has asked about none, so
+// that it can use some as soon as room comes. It begins with another worker each
+// time, so that not all steps wait for the same ones.
+func (d *Dispatcher) nameAny(now modeler.Reading, u *unit) []modeler.WorkerID {
+	var names []modeler.WorkerID
+	for i := 0; i < len(d.list) && len(names) < askMin; i++ {
+		d.rotor = (d.rotor + 1) % len(d.list)
+		if h := d.list[d.rotor]; d.mayName(now, u, h) {
+			names = append(names, h.machine.ID)
+		}
+	}
 	return names
 }
 
+// mayName reports whether a question for a step may name a worker.
+func (d *Dispatcher) mayName(now modeler.Reading, u *unit, h *host) bool {
+	id := h.machine.ID
+	if u.denied[id] || h.machine.Service != u.policy.Service || !d.usable(now, h) {
+		return false
+	}
+	p, known := u.permits[id]
+	if known && p.until > now && p.generation == h.machine.Generation {
+		return false
+	}
+	return u.step.Label == "" || slices.Contains(h.machine.Labels, u.step.Label)
+}
+
 // compareCandidates puts those first that a question should name.
 func compareCandidates(a, b candidate) int {
 	if a.known != b.known && (a.tasks > 0) == (b.tasks > 0) {
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -40,6 +40,7 @@
 		}
 		if u.short {
 			u.retryAt = now.Add(retryShort)
+			d.makeRoom(now, u)
 		}
 	}
 }
--- a/dispatcher/rig_test.go
+++ b/dispatcher/rig_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"goldcreststack.example/goldcreststack/dispatcher"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/sequencer"
@@ -19,6 +21,8 @@
 	lease    = 6 * time.Second
 	stopTime = 400 * time.Millisecond
 	gangTime = 3 * time.Second
+	// saveEvery is the work between two checkpoints.
+	saveEvery = 500 * time.Millisecond
 	// trip is the way of an order or an answer.
 	trip = 1 * time.Millisecond
 	// copySlack is how long after an acknowledged end an order for a task with
@@ -70,6 +74,16 @@
 	share   int
 	load    int
 	began   modeler.Reading
+	// saves means that it keeps its progress at every saveEvery of work.
+	saves bool
+}
+
+// saved is the newest checkpoint of a task.
+func (j *job) saved() modeler.Checkpoint {
+	if steps := j.done / saveEvery; j.saves && steps > 0 {
+		return modeler.Checkpoint(steps.String())
+	}
+	return ""
 }
 
 func (w *worker) clock(now modeler.Reading) modeler.WorkerClock {
@@ -457,7 +471,7 @@
 		for _, task := range w.tasks() {
 			j := w.running[task]
 			percent := int(100 * j.done / max(j.work, 1))
-			a.Running = append(a.Running, modeler.ListedRun{Task: task, Attempt: j.attempt, Percent: min(percent, 100), Load: j.load})
+			a.Running = append(a.Running, modeler.ListedRun{Task: task, Attempt: j.attempt, Percent: min(percent, 100), Load: j.load, Saved: j.saved()})
 		}
 	case modeler.StartOrder:
 		a.Fate = r.handleStart(w, o, clock)
@@ -495,7 +509,12 @@
 	}
 	step := &f.Spec.Steps[o.Task.Step]
 	w.highest[o.Task] = o.Attempt
-	w.running[o.Task] = &job{attempt: o.Attempt, work: step.Estimate, gang: step.Gang, share: 100, began: r.now}
+	w.running[o.Task] = &job{attempt: o.Attempt, work: step.Estimate, gang: step.Gang, share: 100, began: r.now, saves: step.Checkpoints}
+	if o.Saved != "" {
+		steps, err := time.ParseDuration(string(o.Saved))
+		assert.NilError(r.t, err)
+		w.running[o.Task].done = steps * saveEvery
+	}
 	r.checkStart(w, f, step, o)
 	r.starts[o.Task]++
 	r.latest[o.Task] = r.now
@@ -581,7 +600,7 @@
 	if kind == modeler.EndDone {
 		r.completed[modeler.FlowStart{Task: task, Attempt: j.attempt, Worker: w.machine.ID, Generation: w.machine.Generation}] = r.now
 	}
-	w.ended = append(w.ended, modeler.ListedEnd{Number: w.number, Task: task, Attempt: j.attempt, Kind: kind})
+	w.ended = append(w.ended, modeler.ListedEnd{Number: w.number, Task: task, Attempt: j.attempt, Kind: kind, Saved: j.saved()})
 	if j.gang && kind != modeler.EndDone {
 		r.endGang(task, j.attempt, modeler.EndBroken)
 	}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -59,6 +59,8 @@
 	began  modeler.Reading
 	load   int
 	saved  modeler.Checkpoint
+	// savedAt is when the newest checkpoint was listed first.
+	savedAt modeler.Reading
 	// percentage that the task may use, and since when.
 	share   int
 	shareAt modeler.Reading
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -32,6 +32,8 @@
 	// one is due at retryAt.
 	short   bool
 	retryAt modeler.Reading
+	// roomAt is when room that was made for the step should have come.
+	roomAt modeler.Reading
 	// held counts the step's attempts on each worker.
 	held    map[modeler.WorkerID]int
 	permits map[modeler.WorkerID]permit
