--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -12,8 +12,9 @@
 
 const (
 	// WorkersFrom is the number of workers from which a leader has its orders
-	// carried: each worker costs it about 0.04% of a core in calls of its own,
-	// and a carried order takes two trips between failure domains more.
+	// carried. Sending them itself took 0.59 core with 1,100 workers, so a
+	// smaller cell leaves it most of its processor, and a carried order takes two
+	// trips between failure domains more.
 	WorkersFrom = 400
 	// batchEvery is the time between two batches to the processes: short against
 	// the objectives of urgent work, and long enough for several orders each.
@@ -162,8 +163,7 @@
 	return f.order, now.Sub(f.sent), found
 }
 
-// Flying counts the orders without an answer, and Ready the processes that
-// carry.
+// Flying counts the orders without an answer.
 func (c *Carrier) Flying() int { return len(c.flights) }
 
 // Ready counts the processes that carry orders.
--- a/controller/flows.go
+++ b/controller/flows.go
@@ -17,7 +17,8 @@
 	flowOrdersMax = 4096
 	// entryEvery is the time between two entries of the log with starts and
 	// ends, for each member: an entry costs the leader a message to every member
-	// and an answer, about 0.1% of a core for each entry a second.
+	// and an answer from it. Five members have an entry each 5 ms, half of what a
+	// fast disk takes to sync one.
 	entryEvery = time.Millisecond
 	// lanesFast is the part of the free processes that slow questions to the
 	// outside policy must leave for fast ones: one in lanesFast.
