--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -159,7 +159,7 @@
 	h := d.hosts[id]
 	switch {
 	case h == nil:
-		h = d.addHost(now, m)
+		d.addHost(now, m)
 		d.settings.Log("worker known", "worker", id, "generation", m.Generation, "service", m.Service)
 	case h.machine.Generation != m.Generation:
 		d.settings.Log("worker restarted", "worker", id, "generation", m.Generation, "attempts", len(h.runs))
