A member that stops while its disk is full leaves no gap in its log

A member that is stopped gives up the write that waits for room; the next one that waited behind it was tried all the same, and if the disk had room again by then, the store refused it and the process ended with an error. Nothing that was acknowledged is concerned: neither write was.

No write follows one that was given up.

--- a/controller/disk.go
+++ b/controller/disk.go
@@ -47,10 +47,11 @@
 	}
 }
 
-// writeBatch writes the job and those that wait behind it.
+// writeBatch writes the job and those that wait behind it. None is written
+// behind one that was given up.
 func (c *Controller) writeBatch(ctx context.Context, job diskJob) (replicator.Write, error) {
 	for {
-		if err := c.writeJob(ctx, job); err != nil {
+		if err := c.writeJob(ctx, job); err != nil || ctx.Err() != nil {
 			return 0, err
 		}
 		last := job.write
--- a/controller/full_test.go
+++ b/controller/full_test.go
@@ -53,8 +53,9 @@
 		first = append(first, modeler.Member{ID: id + 1, Address: l.Addr().String()})
 	}
 	full := make([]atomic.Bool, len(first))
+	var stops []func()
 	for i, l := range listeners {
-		startPeer(t, first[i].ID, l, first, false, fillable(&full[i]))
+		stops = append(stops, startPeer(t, first[i].ID, l, first, false, fillable(&full[i])))
 	}
 	// A member with a full disk can't end while it waits to save its vote.
 	t.Cleanup(func() {
@@ -90,4 +91,13 @@
 		full[i].Store(false)
 		assert.Assert(t, accepted(recovery), "nothing is accepted after the disk of member %d has room again", i+1)
 	}
+
+	// A member that is stopped while writes wait for room leaves no gap in its
+	// log, and ends without an error.
+	full[0].Store(true)
+	for range 5 {
+		assert.Assert(t, accepted(recovery))
+	}
+	full[0].Store(false)
+	stops[0]()
 }
