The stand-in member keeps a link before it says who leads

The stand-in member told who leads with the link's first message, before it had kept the link. A test that had seen the leader then used links[0], panicked under the member's lock, and the cleanup waited for that lock for ever.

Reproduced without load beyond six copies of the test binary: -test.run 'TestCarriedOrders|TestOverloadedLeader|TestQuestions' -test.count=150, 4 of 6 runs hung in TestCarriedOrders with that stack.

Ruled out: a fault of the relayer; the stack shows the panic in the test and both waits on member.mu.

After: three copies with -test.count=200 each pass. The waits of these tests are bounded too, so that another fault shows in seconds.

--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -33,16 +33,15 @@
 func newMember(t *testing.T, id modeler.MemberID) *member {
 	m := &member{hello: modeler.Hello{Member: id}}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		m.mu.Lock()
-		hello := m.hello
-		m.mu.Unlock()
-		l, err := linker.Accept(w, r, hello)
+		// The link is kept before it says who leads: a test that has seen the
+		// leader uses the link.
+		l, err := linker.Accept(w, r, modeler.Hello{Member: id})
 		if err != nil {
 			return
 		}
 		m.mu.Lock()
 		m.links = append(m.links, l)
-		hello = m.hello
+		hello := m.hello
 		l.Send(&modeler.Message{Kind: modeler.HelloMessage, Hello: &hello})
 		m.mu.Unlock()
 		for message := range l.Receive() {
@@ -64,6 +63,15 @@
 	return m
 }
 
+// link returns the first link that was accepted.
+func (m *member) link(t *testing.T) *linker.Link {
+	t.Helper()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	assert.Assert(t, len(m.links) > 0)
+	return m.links[0]
+}
+
 func (m *member) drop() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -191,9 +199,7 @@
 	}, m)
 	m.lead(1, true)
 	await(t, "the leader", r.Reached)
-	m.mu.Lock()
-	link := m.links[0]
-	m.mu.Unlock()
+	link := m.link(t)
 	for i := range 8 {
 		link.Send(&modeler.Message{Kind: modeler.PermitAskMessage, PermitAsk: &modeler.PermitAsk{Unit: modeler.StepKey{Step: modeler.StepIndex(i)}}})
 	}
@@ -240,18 +246,19 @@
 	defer cancel()
 	go func() { _ = r.Run(ctx) }()
 	r.Keep(ctx, []string{m.address})
-	for !r.Reached() {
-		time.Sleep(time.Millisecond)
-	}
+	await(t, "the leader", r.Reached)
 	carry := func(o modeler.Order) modeler.OrderAnswer {
-		m.mu.Lock()
-		link := m.links[0]
-		m.mu.Unlock()
+		link := m.link(t)
 		assert.Equal(t, link.Peer.Carries, "127.0.0.1:1")
 		link.Send(&modeler.Message{Kind: modeler.CarryMessage, Carry: []modeler.CarriedOrder{{Number: 9, Order: o}}})
-		a := <-answers
-		assert.Equal(t, a.Number, modeler.Sequence(9))
-		return a.Answer
+		select {
+		case a := <-answers:
+			assert.Equal(t, a.Number, modeler.Sequence(9))
+			return a.Answer
+		case <-time.After(3 * time.Second):
+			t.Fatal("the order got no answer")
+			return modeler.OrderAnswer{}
+		}
 	}
 	a := carry(modeler.Order{Worker: "w1", Term: 5, Timeout: 400 * time.Millisecond})
 	assert.Equal(t, a.Fate, modeler.FateAccepted)
@@ -278,9 +285,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	r.Keep(ctx, []string{m.address})
-	for !r.Reached() {
-		time.Sleep(time.Millisecond)
-	}
+	await(t, "the leader", r.Reached)
 	_, err := r.Call(ctx, &modeler.Call{Kind: modeler.SubmitCall, Wait: 3 * time.Second})
 	assert.Equal(t, classifier.KindOf(err), classifier.QueueFull)
 	assert.Equal(t, classifier.KindOf(err).Answer().Outcome, classifier.NotRun)
