Steps that are late already go behind those that can be in time

Cause: steps of one priority went in order of their latest start. After an outage or a burst the oldest went first although they were late by then, and made all that came afterwards late as well.

Change: dispatcher/prospect.go judges at each tick what a start can still bring a caller: in time, late, or nothing since the caller has given up; the order is priority, prospect, latest start. Nothing is dropped. No work is thrown away for steps whose callers have given up.

Test: TestBacklogDoesNotMakeOthersLate, a backlog of 3 s and ten flows a second after it; of 40 later flows in time: 7 before (24 with permits), 36 or more after, which is the bound.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -159,6 +159,7 @@
 	}
 	d.copySilent(now)
 	d.wakeUnits(now)
+	d.judgeProspects()
 	d.changed = true
 }
 
--- a/dispatcher/preempt.go
+++ b/dispatcher/preempt.go
@@ -27,9 +27,10 @@
 // makeRoom stops tasks that keep their progress, so that a more urgent step gets
 // their room. It answers bursts of short urgent work on a cell that is full of
 // long tasks: these have the time to go on elsewhere from their checkpoints,
-// while urgent work that waits for one of them to end is late.
+// while urgent work that waits for one of them to end is late. Nothing is thrown
+// away for callers who have given up.
 func (d *Dispatcher) makeRoom(now modeler.Reading, u *unit) {
-	if now.Sub(u.readyAt) < preemptAfter || now < u.roomAt || u.step.Gang || u.step.Backfill || u.step.Lasting {
+	if now.Sub(u.readyAt) < preemptAfter || now < u.roomAt || u.prospect == hopeless || u.step.Gang || u.step.Backfill || u.step.Lasting {
 		return
 	}
 	need := charge(u.step)
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -27,7 +27,10 @@
 	waiting []modeler.TaskIndex
 	// latest is when the step should start so that the flow is done in time.
 	latest modeler.Stamp
-	avoid  map[modeler.TaskIndex]modeler.WorkerID
+	// prospect is what a start now can bring, and horizon when that changes.
+	prospect prospect
+	horizon  horizon
+	avoid    map[modeler.TaskIndex]modeler.WorkerID
 	// short means that the last decision left tasks without a worker; the next
 	// one is due at retryAt.
 	short   bool
@@ -77,6 +80,10 @@
 			}
 			slack := time.Duration(f.Spec.Policy.Slowdown*float64(longest)) + f.Spec.Policy.Latency
 			u.latest = d.dueTime(f, k).Add(slack - rest[s])
+			u.horizon = newHorizon(u.latest, slack, f.Spec.Policy.Latency)
+			if !u.step.Lasting && !u.step.Backfill {
+				u.prospect = u.horizon.at(d.stamp)
+			}
 			u.refresh()
 			for i := range u.step.Count {
 				if r := d.runs[u.task(modeler.TaskIndex(i))]; r != nil && r.phase != ending {
@@ -110,10 +117,12 @@
 	return rest
 }
 
-// compareUnits orders units by priority, then by the latest time to start.
+// compareUnits orders units by priority, then by their prospect and the latest
+// time to start.
 func compareUnits(a, b *unit) int {
 	return cmp.Or(
 		cmp.Compare(a.policy.Priority, b.policy.Priority),
+		cmp.Compare(a.prospect, b.prospect),
 		cmp.Compare(a.latest, b.latest),
 		cmp.Compare(a.key.Flow, b.key.Flow),
 		cmp.Compare(a.key.Occurrence, b.key.Occurrence),
