Orders go through another process when theirs is quiet or doesn't reach the worker

A worker that its process could not reach was taken for silent, although others reached it: its tasks would have been given up. Orders that were sent again went by the same link, behind the one that was held up.

Change: processes that say nothing for 400 ms, while pings come each 250 ms, are passed over until they are heard; an order without an answer moves its worker to the next process of its order by hash; a repeated order takes that way at once. A leader that hears nothing of half of them has not listened itself.

Tests that fail first: TestAnotherProcessReachesTheWorker, TestRepeatedOrdersTakeAnotherWay, TestQuietProcessIsPassedOver; TestQuiet.

--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -76,16 +76,16 @@
 	batch := c.Take(0)[0].Orders
 	assert.Equal(t, c.Flying(), 3)
 
-	o, took, found := c.Answered(modeler.Reading(10*time.Millisecond), batch[0].Number)
+	o, took, found := c.Answered(modeler.Reading(10*time.Millisecond), batch[0].Number, modeler.FateAccepted)
 	assert.Assert(t, found)
 	assert.Equal(t, o.Worker, batch[0].Order.Worker)
 	assert.Equal(t, took, 10*time.Millisecond)
-	_, _, found = c.Answered(0, batch[0].Number)
+	_, _, found = c.Answered(0, batch[0].Number, modeler.FateAccepted)
 	assert.Assert(t, !found, "an answer counted twice")
 
 	assert.Equal(t, len(c.Expire(modeler.Reading(time.Second))), 0)
 	assert.Equal(t, len(c.Expire(modeler.Reading(3*time.Second))), 2)
-	_, _, found = c.Answered(0, batch[1].Number)
+	_, _, found = c.Answered(0, batch[1].Number, modeler.FateAccepted)
 	assert.Assert(t, !found, "an order that was given up has an answer")
 	assert.Equal(t, len(c.Down(session(1))), 0)
 }
@@ -98,7 +98,7 @@
 		c.Up(session(1))
 		assert.Assert(t, c.Send(0, order(1)))
 	}
-	_, _, found := next.Answered(0, former.Take(0)[0].Orders[0].Number)
+	_, _, found := next.Answered(0, former.Take(0)[0].Orders[0].Number, modeler.FateAccepted)
 	assert.Assert(t, !found)
 }
 
@@ -116,3 +116,93 @@
 	}
 	assert.Assert(t, messages <= 100, "%d messages for 4,000 orders", messages)
 }
+
+// Guards against a worker that is taken for silent, and its tasks for lost,
+// because the path from one process to it is cut or a link to that process is
+// held up.
+func TestAnotherProcessReachesTheWorker(t *testing.T) {
+	for name, fail := range map[string]func(c *carrier.Carrier, number modeler.Sequence){
+		"silent": func(c *carrier.Carrier, n modeler.Sequence) { c.Answered(0, n, modeler.FateSilent) },
+		"unsent": func(c *carrier.Carrier, n modeler.Sequence) { c.Answered(0, n, modeler.FateUnsent) },
+		"no answer": func(c *carrier.Carrier, _ modeler.Sequence) {
+			c.Expire(modeler.Reading(3 * time.Second))
+		},
+	} {
+		c := carrier.New(3)
+		for n := range 4 {
+			c.Up(session(n))
+		}
+		before, batches := sent(c, 0, 50)
+		for _, b := range batches {
+			for _, o := range b.Orders {
+				fail(c, o.Number)
+			}
+		}
+		after, _ := sent(c, modeler.Reading(4*time.Second), 50)
+		for worker, to := range before {
+			assert.Check(t, after[worker] != to, "%s: %s is still reached through %s", name, worker, to.Entry)
+		}
+	}
+}
+
+// Guards against an order that is sent again behind the first one, which is held
+// up on its way, and against workers that change hands without need.
+func TestRepeatedOrdersTakeAnotherWay(t *testing.T) {
+	c := carrier.New(3)
+	for n := range 4 {
+		c.Up(session(n))
+	}
+	before, _ := sent(c, 0, 50)
+	for w := range 50 {
+		o := order(w)
+		o.Repeated = true
+		c.Send(0, o)
+	}
+	for _, b := range c.Take(modeler.Reading(time.Second)) {
+		for _, o := range b.Orders {
+			assert.Check(t, b.To != before[o.Order.Worker], "%s", o.Order.Worker)
+			c.Answered(0, o.Number, modeler.FateAccepted)
+		}
+	}
+	after, _ := sent(c, modeler.Reading(2*time.Second), 50)
+	assert.DeepEqual(t, after, before)
+}
+
+// Guards against ends that are heard late because the process that would have
+// passed them on has stopped: a step waits for its slowest task, and the link is
+// closed only after a second. A leader that has heard nobody was late itself.
+func TestQuietProcessIsPassedOver(t *testing.T) {
+	c := carrier.New(3)
+	for n := range 4 {
+		c.Up(session(n))
+	}
+	silence := map[modeler.EntrySession]time.Duration{}
+	watch := func() int {
+		return len(c.Watch(func(s modeler.EntrySession) time.Duration { return silence[s] }))
+	}
+	before, _ := sent(c, 0, 50)
+	assert.Equal(t, watch(), 0)
+	silence[session(2)] = 450 * time.Millisecond
+	carried := 0
+	for _, to := range before {
+		if to == session(2) {
+			carried++
+		}
+	}
+	assert.Equal(t, watch(), carried)
+	assert.Equal(t, watch(), 0, "orders were given up twice")
+	after, _ := sent(c, modeler.Reading(time.Second), 50)
+	for worker, to := range after {
+		assert.Check(t, to != session(2))
+		assert.Check(t, before[worker] == session(2) || to == before[worker], "%s changed hands", worker)
+	}
+	silence[session(2)] = 10 * time.Millisecond
+	watch()
+	again, _ := sent(c, modeler.Reading(2*time.Second), 50)
+	assert.DeepEqual(t, again, before)
+	for n := range 4 {
+		silence[session(n)] = 450 * time.Millisecond
+	}
+	assert.Equal(t, watch(), 0, "the leader's own silence was taken for that of others")
+	assert.Equal(t, c.Ready(), 4)
+}
--- a/controller/flows.go
+++ b/controller/flows.go
@@ -211,6 +211,15 @@
 	}
 }
 
+// quiet returns how long a process has said nothing.
+func (l *flowLead) quiet(session modeler.EntrySession) time.Duration {
+	link := l.core.links[session]
+	if link == nil {
+		return 0
+	}
+	return link.Quiet()
+}
+
 // carry hands the orders that are due to the processes that carry them.
 func (l *flowLead) carry(now modeler.Reading) {
 	for _, b := range l.carrier.Take(now) {
@@ -223,7 +232,7 @@
 // carried takes the answers to orders that another process has carried.
 func (l *flowLead) carried(now modeler.Reading, answers []modeler.CarriedAnswer) {
 	for i := range answers {
-		o, took, found := l.carrier.Answered(now, answers[i].Number)
+		o, took, found := l.carrier.Answered(now, answers[i].Number, answers[i].Answer.Fate)
 		if !found {
 			continue
 		}
--- a/controller/leadership.go
+++ b/controller/leadership.go
@@ -95,6 +95,7 @@
 	l.tasks.Tick(now)
 	if l.flows != nil {
 		l.flows.stray(now, l.flows.carrier.Expire(now), "no answer came in time")
+		l.flows.stray(now, l.flows.carrier.Watch(l.flows.quiet), "the process is quiet")
 		l.flows.noteLoad(now)
 		l.flows.cell.Tick(now, l.core.stamp())
 	}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -314,7 +314,7 @@
 	d.send(modeler.Order{
 		Kind: modeler.StartOrder, Worker: h.machine.ID, Generation: h.machine.Generation, Address: h.machine.Address,
 		Task: r.task, Attempt: r.attempt, Deadline: d.deadline(now, h),
-		Spec: f.Spec.Spec, Saved: f.Task(r.task).Saved, Permit: r.permit,
+		Spec: f.Spec.Spec, Saved: f.Task(r.task).Saved, Permit: r.permit, Repeated: r.tries > 1,
 	})
 	// The worker's lists are wanted soon, also if it had none to renew.
 	h.renewAt = min(h.renewAt, now.Add(resend))
@@ -342,12 +342,13 @@
 	if !r.stopping {
 		d.logTask("task stop", r.task, r.attempt, r.host.machine.ID, "reason", why, "percent", r.percent, "heard", now.Sub(r.host.heard).String())
 	}
+	repeated := r.stopping
 	r.stopping = true
 	r.stopSent = now
 	h := r.host
 	d.send(modeler.Order{
 		Kind: modeler.StopOrder, Worker: h.machine.ID, Generation: h.machine.Generation, Address: h.machine.Address,
-		Task: r.task, Attempt: r.attempt,
+		Task: r.task, Attempt: r.attempt, Repeated: repeated,
 	})
 }
 
--- a/linker/link.go
+++ b/linker/link.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -46,6 +47,8 @@
 	once sync.Once
 	// clock counts suspensions of the host, which timers don't.
 	clock func() modeler.Reading
+	// heard is the reading at the newest message.
+	heard atomic.Int64
 	// Peer is what the other side said of itself first.
 	Peer modeler.Hello
 }
@@ -97,6 +100,7 @@
 		l.Close()
 		return nil, err
 	}
+	l.heard.Store(int64(clock()))
 	go l.read()
 	go l.write()
 	return l, nil
@@ -139,6 +143,10 @@
 // with the link.
 func (l *Link) Receive() <-chan *modeler.Message { return l.in }
 
+// Quiet returns how long nothing has been heard from the other side, which sends
+// a message every 250 ms at least.
+func (l *Link) Quiet() time.Duration { return l.clock().Sub(modeler.Reading(l.heard.Load())) }
+
 // Done is closed with the link.
 func (l *Link) Done() <-chan struct{} { return l.done }
 
@@ -167,6 +175,7 @@
 		if err != nil || l.clock().Sub(began) > silence {
 			return
 		}
+		l.heard.Store(int64(l.clock()))
 		if m.Kind == modeler.PingMessage {
 			continue
 		}
--- a/linker/link_test.go
+++ b/linker/link_test.go
@@ -44,3 +44,34 @@
 	assert.Assert(t, took > 2*time.Second, "closed after %s although pings arrived for 1.5 s", took)
 	assert.Assert(t, took < 4*time.Second, "closed after %s", took)
 }
+
+// TestQuiet guards against a link that is taken for quiet while pings come, or
+// for a healthy one when they have ceased.
+func TestQuiet(t *testing.T) {
+	linked := make(chan *linker.Link, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if l, err := linker.Accept(w, r, modeler.Hello{Member: 2}); err == nil {
+			linked <- l
+			<-l.Done()
+		}
+	}))
+	defer server.Close()
+	l, err := linker.Dial(t.Context(), strings.TrimPrefix(server.URL, "http://"), modeler.Hello{Member: 1})
+	assert.NilError(t, err)
+	other := <-linked
+	for range 2 {
+		// Each ping ends a silence.
+		last, pinged := l.Quiet(), false
+		for end := time.Now().Add(5 * time.Second); !pinged && time.Now().Before(end); time.Sleep(time.Millisecond) {
+			quiet := l.Quiet()
+			pinged = quiet < last
+			last = quiet
+		}
+		assert.Assert(t, pinged, "no ping was heard")
+	}
+	other.Close()
+	<-l.Done()
+	before := l.Quiet()
+	time.Sleep(100 * time.Millisecond)
+	assert.Assert(t, l.Quiet() >= before+100*time.Millisecond)
+}
--- a/modeler/order.go
+++ b/modeler/order.go
@@ -48,6 +48,9 @@
 	Percent int
 	// First is set on the first renewal of a term.
 	First bool
+	// Repeated is set on an order that had no answer yet when it was sent again;
+	// it stays with the leader.
+	Repeated bool `cbor:"-"`
 }
 
 // Fate tells what became of an order.
