Connections that are unused for longest are closed at a bound

Cause: accepted connections had no bound. Once a control host of the large site is out of descriptors (4,324; 4,444 files were open before orders were carried), accept fails, and so does each new file of the log, which ends the process.

Change: pruner bounds the accepted connections of a process to half of the descriptors that its settings state, and closes the one that is unused for longest, or the new one if all are in use; a line when the bound is reached, a counter for each.

Not done: connections to workers have no budget (docs/not-proved.md).

--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -26,6 +26,7 @@
 	"goldcreststack.example/goldcreststack/dispatcher"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/platform"
+	"goldcreststack.example/goldcreststack/pruner"
 	"goldcreststack.example/goldcreststack/relayer"
 	"goldcreststack.example/goldcreststack/reporter"
 	"goldcreststack.example/goldcreststack/storer"
@@ -60,6 +61,10 @@
 	snapshotEvery = 4_000
 	// segmentParts is the part of the disk that one file of the log may take.
 	segmentParts = 32
+	// acceptParts is the part of the descriptors that connections to the process
+	// may take, one in acceptParts; orders to workers and questions to the outside
+	// policy, links and the log share the rest.
+	acceptParts = 2
 	// readyFor is how long a process without a leader stays ready: an election
 	// takes up to two seconds, and refusals tell callers when to come back.
 	readyFor = 4 * time.Second
@@ -265,6 +270,11 @@
 	defer stop()
 	group, inner := errgroup.WithContext(inner)
 	handlers[net.JoinHostPort(h.node.Host, metricsPort)] = h.reports()
+	unused := &pruner.Pruner{
+		Most:   h.node.Files / acceptParts,
+		Full:   func(most int) { h.report.Warn("connections reach their bound", "most", most) },
+		Pruned: h.report.Counter("connections_closed_unused_total").Inc,
+	}
 	var servers []*http.Server
 	for address, handler := range handlers {
 		listener, err := net.Listen("tcp", address)
@@ -274,6 +284,7 @@
 		server := &http.Server{
 			Handler:           handler,
 			ReadHeaderTimeout: 3 * time.Second,
+			ConnState:         unused.ConnState,
 			ErrorLog:          log.New(serverLog{h.report}, "", 0),
 		}
 		servers = append(servers, server)
--- a/hoster/hoster_test.go
+++ b/hoster/hoster_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -46,6 +47,13 @@
 	return o.lines.Write(p)
 }
 
+// count returns how often the process has written a text.
+func (o *output) count(text string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return bytes.Count(o.lines.Bytes(), []byte(text))
+}
+
 // beginning returns the line that a control process writes first.
 func (o *output) beginning() (line struct {
 	Message   string `json:"message"`
@@ -209,3 +217,35 @@
 	<-ended
 	assert.Assert(t, time.Since(begun) < grace, "ended after %s", time.Since(begun))
 }
+
+// Guards against a control process that runs out of descriptors, and can neither
+// answer nor write its log, because others keep connections open to it.
+func TestUnusedConnectionsLeaveRoom(t *testing.T) {
+	// 200 of them are not the process's, and half of the rest are for connections
+	// to it.
+	const files, most, opened = 280, 40, 60
+	port := freePort(t)
+	control := imitator.Beside(ip(5), port, 1)
+	out, _ := start(t, imitator.Node{Name: "c1", IP: ip(5), Port: port, Seeds: []string{control}, First: true, Folder: filepath.Join(t.TempDir(), "data"), Files: files})
+	assert.Assert(t, eventually(startWithin, func() bool { return offer(t, control, imitator.Layout(1, "q", "/q/")) }), "no layout in force")
+	var kept []net.Conn
+	for range opened {
+		conn, err := net.Dial("tcp", control)
+		assert.NilError(t, err)
+		defer conn.Close()
+		kept = append(kept, conn)
+	}
+	closed := func() int {
+		n := 0
+		for _, conn := range kept {
+			assert.NilError(t, conn.SetReadDeadline(time.Now().Add(time.Millisecond)))
+			if _, err := conn.Read(make([]byte, 1)); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Assert(t, eventually(startWithin, func() bool { return closed() >= opened-most }), "%d of %d connections were closed", closed(), opened)
+	assert.Assert(t, eventually(startWithin, func() bool { return offer(t, control, imitator.Layout(2, "q", "/q/")) }), "nothing is accepted any more")
+	assert.Assert(t, eventually(startWithin, func() bool { return out.count("connections reach their bound") == 1 }), "the bound was told %d times", out.count("connections reach their bound"))
+}
