--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -273,6 +273,34 @@
 	}
 }
 
+// Guards against work that is lost with a worker that leaves at short notice: what
+// can be resumed goes on elsewhere from its checkpoint, and what lasts starts
+// there, before the worker is gone.
+func TestLeavingWorkerIsEmptied(t *testing.T) {
+	r := newRig(t, 13)
+	r.cellOf(4, 8)
+	const work, notice = 6 * time.Second, 2 * time.Second
+	long := step(8, 2, work)
+	long.Checkpoints = true
+	lasting := step(2, 1, 100*time.Millisecond)
+	lasting.Lasting = true
+	began := r.now
+	r.submit(flow("long", long))
+	r.submit(flow("lasting", lasting))
+	r.run(2 * time.Second)
+	w := r.busiest()
+	w.machine.Leaving, w.machine.Remaining = true, notice
+	r.note(w)
+	r.run(notice)
+	assert.Equal(t, len(w.running), 0, "%v still run there", w.tasks())
+	r.crash(w)
+	r.run(work)
+	assert.Equal(t, r.state1("long"), modeler.FlowCompleted)
+	// A checkpoint's work is done again; the stop and the new start are short.
+	took := r.finished["long"].Sub(began)
+	assert.Assert(t, took < work+saveEvery+time.Second, "took %v", took)
+}
+
 // Guards against work that stays on workers that have turned slow or stand
 // still until it is worth nothing to its caller.
 func TestSlowWorkersAreLeft(t *testing.T) {
