--- a/controller/core.go
+++ b/controller/core.go
@@ -49,8 +49,10 @@
 	// hello is what new links are told; other goroutines read it.
 	hello    atomic.Pointer[modeler.Hello]
 	full     bool
-	nextTick modeler.Reading
+	// lastTick is when the leader's deadlines were looked at last, and nextTick
+	// when that is due again.
 	lastTick modeler.Reading
+	nextTick modeler.Reading
 	// leaveAfter is when the leadership may be handed over again for poor links.
 	leaveAfter modeler.Reading
 
