--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -37,6 +37,14 @@
 	3966650880,
 }
 
+// red are the seeds that fail for a reason that is not mended (KNOWN-RED.txt).
+var red = []uint64{
+	// A start without an answer is sent again, carried out and acknowledged as
+	// done; its worker crashes and comes back, and its new generation carries out
+	// the first one before it has announced itself.
+	262152143,
+}
+
 // folderOf returns a folder of the test's own.
 func folderOf(t *testing.T) string {
 	if *folder == "" {
@@ -47,39 +55,56 @@
 	return path
 }
 
-// Guards the promises to callers and workers against processes that are killed,
-// paused and restarted, links that are cut, and workers that misbehave.
-func TestSoak(t *testing.T) {
+// build returns the path of the program.
+func build(t *testing.T) string {
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
 	binary := filepath.Join(t.TempDir(), "goldcreststack")
 	out, err := exec.Command("go", "build", "-o", binary, "../cmd/goldcreststack").CombinedOutput()
 	assert.NilError(t, err, string(out))
-	play := kept
+	return binary
+}
+
+// play plays a seed and reports what broke.
+func play(t *testing.T, binary string, s uint64) {
+	report, err := soaker.Run(t.Context(), soaker.Settings{
+		Seed: s, Length: *length, Binary: binary, Folder: folderOf(t),
+		Control: *control, Entries: *entries, Workers: *workers,
+	})
+	assert.NilError(t, err)
+	t.Logf("seed %d: %d jobs, %d starts, %d faults", s, report.Jobs, report.Starts, len(report.Faults))
+	assert.Check(t, report.Starts > 0, "nothing was started")
+	if len(report.Broken) > 0 {
+		for _, line := range report.Faults {
+			t.Log(line)
+		}
+	}
+	for _, line := range report.Broken {
+		t.Error(line)
+	}
+}
+
+// Guards the promises to callers and workers against processes that are killed,
+// paused and restarted, links that are cut, and workers that misbehave.
+func TestSoak(t *testing.T) {
+	binary := build(t)
+	chosen := kept
 	if *seed != 0 {
-		play = []uint64{*seed}
+		chosen = []uint64{*seed}
 	}
 	for range *seeds {
-		play = append(play, rand.Uint64N(1<<32))
+		chosen = append(chosen, rand.Uint64N(1<<32))
+	}
+	for _, s := range chosen {
+		t.Run(fmt.Sprint(s), func(t *testing.T) { play(t, binary, s) })
 	}
-	for _, s := range play {
-		t.Run(fmt.Sprint(s), func(t *testing.T) {
-			report, err := soaker.Run(t.Context(), soaker.Settings{
-				Seed: s, Length: *length, Binary: binary, Folder: folderOf(t),
-				Control: *control, Entries: *entries, Workers: *workers,
-			})
-			assert.NilError(t, err)
-			t.Logf("seed %d: %d jobs, %d starts, %d faults", s, report.Jobs, report.Starts, len(report.Faults))
-			assert.Check(t, report.Starts > 0, "nothing was started")
-			if len(report.Broken) > 0 {
-				for _, line := range report.Faults {
-					t.Log(line)
-				}
-			}
-			for _, line := range report.Broken {
-				t.Error(line)
-			}
-		})
+}
+
+// Plays the seeds that are known to fail.
+func TestSoakRed(t *testing.T) {
+	binary := build(t)
+	for _, s := range red {
+		t.Run(fmt.Sprint(s), func(t *testing.T) { play(t, binary, s) })
 	}
 }
