--- a/controller/core.go
+++ b/controller/core.go
@@ -47,8 +47,8 @@
 	// lead is set while this member leads with a quorum lease.
 	lead *leadership
 	// hello is what new links are told; other goroutines read it.
-	hello    atomic.Pointer[modeler.Hello]
-	full     bool
+	hello atomic.Pointer[modeler.Hello]
+	full  bool
 	// lastTick is when the leader's deadlines were looked at last, and nextTick
 	// when that is due again.
 	lastTick modeler.Reading
