Reserve a loopback network for each soak

Cause: a soak chose its network by its process id modulo 200, so two soaks at the same time could use the same addresses; a process of one then could not listen on its fixed metrics port, and the soak saw the restart as a race. Change: a soak reserves its network by listening on an abstract socket name, which the system releases when the process ends.

--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -110,3 +111,24 @@
 		t.Run(fmt.Sprint(s), func(t *testing.T) { runSeed(t, binary, s) })
 	}
 }
+
+// Guards against soaks that use each other's addresses: some ports of the
+// processes are fixed, so a process can't listen while another soak runs a process
+// with the same address.
+func TestSoaksSideBySide(t *testing.T) {
+	binary := buildBinary(t)
+	var runs sync.WaitGroup
+	for i := range 2 {
+		runs.Go(func() {
+			report, err := soaker.Run(t.Context(), soaker.Settings{
+				Seed: uint64(i), Binary: binary, Folder: t.TempDir(), Control: 1, Entries: 1, Workers: 2,
+			})
+			assert.Check(t, err)
+			assert.Check(t, report.Starts > 0, "no task was started")
+			for _, line := range report.Violations {
+				t.Error(line)
+			}
+		})
+	}
+	runs.Wait()
+}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -69,6 +69,7 @@
 	random   *rand.Rand
 	ctx      context.Context
 	check    *check
+	network  *network
 	port     int
 	control  []*process
 	entries  []*process
@@ -94,6 +95,11 @@
 		check:     newCheck(),
 		bootstrap: true,
 	}
+	var err error
+	if w.network, err = reserveNetwork(); err != nil {
+		return Report{}, err
+	}
+	defer w.network.release()
 	defer w.close()
 	if err := w.startAll(); err != nil {
 		return Report{}, err
@@ -125,11 +131,9 @@
 	}
 }
 
-// ip returns a separate loopback address for each process and purpose. Some ports
-// are fixed, so soaks that run at the same time use different networks, chosen by
-// the id of the test process.
+// ip returns a separate loopback address for each process and purpose.
 func (w *world) ip(purpose, n int) string {
-	return fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%200, purpose, n+1)
+	return fmt.Sprintf("127.%d.%d.%d", w.network.number, purpose, n+1)
 }
 
 // The purposes of addresses. A control process advertises one address, where its
