TestOverload bounds the runs that overtake a modest caller

Cause: the bound of 250 ms of wall time failed beside load, because a busy machine delays the callers, the entries and the workers alike; no queue was at fault. Replaced by a check that is as strict at the workers' full rate: 250 ms at 800 runs a second are 200 runs that may start while a modest caller waits. Measured: beside 6 busy processes under the race detector 6 of 6 passed, 75 to 113 runs, 108 to 183 ms. With a queue that serves the greedy caller first (a break by hand) the test fails, 2 of 2 runs.

--- a/cmd/goldcreststack/shares_test.go
+++ b/cmd/goldcreststack/shares_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"testing"
 	"time"
 
@@ -39,7 +38,7 @@
 		c.startLoops(ctx, "light", entryAddress, light, 2, 0)
 	}
 	c.group.Wait()
-	spans := slices.Sorted(slices.Values(c.spans["light"]))
+	spans := c.durations("light")
 	high := spans[len(spans)*95/100]
 	t.Logf("%v; of the light team half took up to %s, 95%% up to %s", c.counts, spans[len(spans)/2], high)
 	assert.Equal(t, len(c.counts["flood"]), 1, "a request of the flood has failed")
--- a/cmd/goldcreststack/slots_test.go
+++ b/cmd/goldcreststack/slots_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -38,12 +39,15 @@
 
 	mu     sync.Mutex
 	counts map[string]map[string]int // by caller and outcome
-	spans  map[string][]time.Duration
+	spans  map[string][]span
 }
 
+// span is the time from the sending of a request to its answer.
+type span struct{ begin, end time.Time }
+
 func newCallers(s *system) *callers {
 	return &callers{
-		s: s, counts: make(map[string]map[string]int), spans: make(map[string][]time.Duration),
+		s: s, counts: make(map[string]map[string]int), spans: make(map[string][]span),
 		client: &http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
 	}
 }
@@ -62,7 +66,7 @@
 				}
 				c.counts[caller][outcome]++
 				if outcome == "200" {
-					c.spans[caller] = append(c.spans[caller], time.Since(begin))
+					c.spans[caller] = append(c.spans[caller], span{begin, time.Now()})
 				}
 				c.mu.Unlock()
 				if outcome != "200" {
@@ -113,14 +117,39 @@
 	return n
 }
 
-// slowest returns the longest time of the caller's successful requests.
-func (c *callers) slowest(caller string) (longest time.Duration) {
+// durations returns how long the caller's successful requests took, in ascending
+// order.
+func (c *callers) durations(caller string) (out []time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, span := range c.spans[caller] {
-		longest = max(longest, span)
+	for _, s := range c.spans[caller] {
+		out = append(out, s.end.Sub(s.begin))
 	}
-	return longest
+	slices.Sort(out)
+	return out
+}
+
+// slowest returns the longest time of the caller's successful requests, or 0.
+func (c *callers) slowest(caller string) time.Duration {
+	durations := append([]time.Duration{0}, c.durations(caller)...)
+	return durations[len(durations)-1]
+}
+
+// mostOvertaken returns the largest number of runs that started on any worker while
+// one of the caller's successful requests waited for its answer.
+func (c *callers) mostOvertaken(caller string, runs []worker.Execution) (most int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.spans[caller] {
+		n := 0
+		for _, run := range runs {
+			if run.Start.After(s.begin) && run.Start.Before(s.end) {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
 }
 
 func (s *system) workerLog(i int) (log worker.Log) {
@@ -265,6 +294,11 @@
 	}
 }
 
+// maxOvertaken bounds the runs that start while a modest caller waits: those of
+// 250 ms at 800 runs a second, the full rate of the workers. It is a number of runs
+// because a busy machine delays the callers, the entries and the workers alike.
+const maxOvertaken = 200
+
 // Guards against unbounded queues, requests that run although they are answered
 // not-run, and a greedy caller that takes the shares of others, when the arrivals
 // are at least 1.5 times the capacity of the workers.
@@ -291,16 +325,18 @@
 	served := c.total("200")
 	t.Logf("%d served in 6 s: %v; the slowest took %s, of the modest callers %s and %s", served, c.counts,
 		c.slowest("greedy"), c.slowest("modest-1"), c.slowest("modest-2"))
-	runs := 0
+	var runs []worker.Execution
 	for i := range s.workers {
 		s.checkWorkerLimits(i, "overload")
-		runs += len(s.workerLog(i).Runs)
+		runs = append(runs, s.workerLog(i).Runs...)
 	}
-	assert.Equal(t, runs, served, "a request said not to be run has run")
+	assert.Equal(t, len(runs), served, "a request said not to be run has run")
 	assert.Assert(t, c.counts["greedy"]["queue-full not-run"] > 0, "the queue has no bound")
 	for _, caller := range []string{"modest-1", "modest-2"} {
 		assert.Equal(t, len(c.counts[caller]), 1, "%s was refused: %v", caller, c.counts[caller])
-		assert.Assert(t, c.slowest(caller) < 250*time.Millisecond, "%s waited behind another caller", caller)
+		overtaken := c.mostOvertaken(caller, runs)
+		t.Logf("%s was overtaken by up to %d runs", caller, overtaken)
+		assert.Assert(t, overtaken < maxOvertaken, "%s waited behind another caller", caller)
 	}
 	// 5.4 s of 6 leaves 10% for starting and the 10 ms pauses of the loops.
 	assert.Assert(t, float64(served) > 0.8*800*6, "the slots were not used")
