Hold permits while a step waits

Cause: a permit request named only workers with room at that moment, often one, and took 430 ms; by then the room was gone. Flows of voice-render made up to 20 requests for one worker each, and had no valid permit a fifth of the time they waited.

--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -29,6 +29,9 @@
 	// for and the capacity needed. It exceeds 1 since other tasks may take some of
 	// it meanwhile.
 	permitHeadroom = 1.3
+	// fullWorkersPerTask is the number of permits per waiting task up to which a
+	// request names workers without capacity that the step has not asked about.
+	fullWorkersPerTask = 4
 )
 
 // NextPermitRequest returns the next permit request for the outside policy, if there is
@@ -98,7 +101,6 @@
 // until the expected capacity suffices.
 func (d *Dispatcher) chooseWorkersToAsk(now modeler.ClockReading, u *unit) []modeler.WorkerID {
 	need := reservation(u.step)
-	first := len(u.permits)+len(u.denied) == 0
 	best := make([]candidate, 0, maxAsked+1)
 	for _, h := range d.hostList {
 		if !d.canAsk(now, u, h) {
@@ -137,22 +139,24 @@
 	}
 	if expected < want {
 		names = d.addPreemptableWorkers(now, u, need, names)
-	}
-	if first && len(names) == 0 {
-		names = d.chooseAnyWorkers(now, u)
+		names = d.addFullWorkers(now, u, names)
 	}
 	return names
 }
 
-// chooseAnyWorkers returns workers without capacity for a step that has asked
-// about none, so that the step can use them as soon as resources become free.
-// Each call begins with another worker, so that different steps wait for
-// different workers.
-func (d *Dispatcher) chooseAnyWorkers(now modeler.ClockReading, u *unit) []modeler.WorkerID {
-	var names []modeler.WorkerID
-	for i := 0; i < len(d.hostList) && len(names) < minAsked; i++ {
+// addFullWorkers adds workers without capacity, so that the step holds permits for
+// them when resources become free there. A request takes the policy hardly longer
+// if it names more workers, and most of a second request. Each call begins with
+// another worker, so that different steps wait for different workers.
+func (d *Dispatcher) addFullWorkers(now modeler.ClockReading, u *unit, names []modeler.WorkerID) []modeler.WorkerID {
+	hasEnough := len(u.permits) >= fullWorkersPerTask*len(u.waiting)
+	for i := 0; i < len(d.hostList) && len(names) < maxAsked; i++ {
 		d.searchStart = (d.searchStart + 1) % len(d.hostList)
-		if h := d.hostList[d.searchStart]; d.canAsk(now, u, h) {
+		h := d.hostList[d.searchStart]
+		if _, known := u.permits[h.worker.ID]; hasEnough && !known {
+			continue
+		}
+		if d.canAsk(now, u, h) && !slices.Contains(names, h.worker.ID) {
 			names = append(names, h.worker.ID)
 		}
 	}
@@ -166,12 +170,18 @@
 		return false
 	}
 	p, known := u.permits[id]
-	if known && p.expiresAt > now && p.generation == h.worker.Generation {
+	if known && p.expiresAt > now.Add(renewalLead(u.policy.Permits)) && p.generation == h.worker.Generation {
 		return false
 	}
 	return u.step.Label == "" || slices.Contains(h.worker.Labels, u.step.Label)
 }
 
+// renewalLead returns how long before its expiry a permit is renewed: the longest
+// time of a request, so that a waiting step holds valid permits all the time.
+func renewalLead(p *modeler.PermitPolicy) time.Duration {
+	return min(p.Decision+maxAsked*p.Worker, (p.Validity-permitMargin)/2)
+}
+
 // compareCandidates orders candidates by how useful it is to ask about them,
 // the most useful first.
 func compareCandidates(a, b candidate) int {
