Reserve room for waiting steps

Cause: nothing was kept for tasks that need most of a worker. Smaller tasks took each piece of room, also what had just been freed by preemption, so tasks of 8 accelerators waited 15 to 60 s. Change: a step without room plans, over all workers that it may use, where its tasks fit earliest; less urgent steps may use that room only until then. Attempts that can be preempted are stopped once all others are about to end. Gangs plan all members at once, and may preempt now.

--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -109,6 +109,8 @@
 	pendingEnds int
 	used        modeler.Resources
 	runs        map[modeler.FlowTask]*run
+	// reservations holds the room that is kept for waiting steps.
+	reservations []*reservation
 	// heardAt is when the worker's last answer arrived, and announcedAt its last
 	// announcement.
 	heardAt     modeler.ClockReading
--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -100,14 +100,14 @@
 // those with capacity that were allowed before, then those not asked about yet,
 // until the expected capacity suffices.
 func (d *Dispatcher) chooseWorkersToAsk(now modeler.ClockReading, u *unit) []modeler.WorkerID {
-	need := reservation(u.step)
+	need := neededBy(u.step)
 	best := make([]candidate, 0, maxAsked+1)
 	for _, h := range d.hostList {
 		if !d.canAsk(now, u, h) {
 			continue
 		}
 		_, known := u.permits[h.worker.ID]
-		tasks := d.taskCapacity(u, h, need)
+		tasks := d.taskCapacity(now, u, h, need)
 		if tasks == 0 {
 			continue
 		}
@@ -204,8 +204,8 @@
 }
 
 // taskCapacity returns how many more tasks of the step the worker can take.
-func (d *Dispatcher) taskCapacity(u *unit, h *host, need modeler.Resources) int {
-	free := h.free()
+func (d *Dispatcher) taskCapacity(now modeler.ClockReading, u *unit, h *host, need modeler.Resources) int {
+	free := d.roomFor(now, u, h)
 	n := u.step.Count
 	if u.step.PerWorker > 0 {
 		n = min(n, u.step.PerWorker-u.runsOn[h.worker.ID])
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -24,15 +24,18 @@
 
 // place assigns waiting tasks to workers.
 func (d *Dispatcher) place(now modeler.ClockReading) {
+	reserving := 0
 	for _, u := range d.sortedUnits {
 		if !u.ready || len(u.waiting) == 0 {
 			u.lacksWorkers = false
+			d.releaseReservations(u)
 			continue
 		}
 		if d.committing >= maxCommitting {
 			return
 		}
 		if u.lacksWorkers && now < u.retryAt {
+			reserving += min(len(u.reservations), 1)
 			continue
 		}
 		if u.step.Gang {
@@ -42,7 +45,12 @@
 		}
 		if u.lacksWorkers {
 			u.retryAt = now.Add(placementRetryInterval)
-			d.preemptFor(now, u)
+		}
+		if u.lacksWorkers && reserving < maxReservations {
+			d.reserve(now, u)
+			reserving += min(len(u.reservations), 1)
+		} else {
+			d.releaseReservations(u)
 		}
 	}
 }
@@ -164,7 +172,7 @@
 func (d *Dispatcher) pickHost(now modeler.ClockReading, u *unit, index modeler.TaskIndex, rack modeler.RackName) *host {
 	var best *host
 	lowest := math.Inf(1)
-	need := reservation(u.step)
+	need := neededBy(u.step)
 	consider := func(h *host) {
 		if rack != "" && h.worker.Rack != rack || h.runs[u.task(index)] != nil || !d.canRun(now, u, h, need) {
 			return
@@ -195,7 +203,7 @@
 
 // canRun reports whether a task of the step can run on the worker now.
 func (d *Dispatcher) canRun(now modeler.ClockReading, u *unit, h *host, need modeler.Resources) bool {
-	if h.worker.Service != u.policy.Service || !need.Fits(h.free()) || !d.usable(now, h) {
+	if h.worker.Service != u.policy.Service || !need.Fits(h.free()) || !d.usable(now, h) || !fits(need, d.roomFor(now, u, h)) {
 		return false
 	}
 	if u.step.Label != "" && !slices.Contains(h.worker.Labels, u.step.Label) {
@@ -208,7 +216,7 @@
 // worker with the fewest processors left, which keeps large blocks free
 // elsewhere for large tasks.
 func (d *Dispatcher) score(u *unit, h *host) float64 {
-	free := h.free().Sub(reservation(u.step))
+	free := h.free().Sub(neededBy(u.step))
 	whole := max(h.worker.Capacity.Processors, 1)
 	score := float64(free.Processors)/float64(whole) + d.speedScore(u, h)
 	if u.step.DataRack != "" && h.worker.Rack != u.step.DataRack {
--- /dev/null
+++ b/dispatcher/reserve.go
@@ -0,0 +1,305 @@
+package dispatcher
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"goldcreststack.example/goldcreststack/modeler"
+)
+
+const (
+	// maxReservations bounds the steps that hold reservations at the same time.
+	// Each placement plans them anew.
+	maxReservations = 32
+	// keepReservation is how much earlier another worker must have room before a
+	// reservation moves there, so that the worker that is being emptied stays.
+	keepReservation = 500 * time.Millisecond
+	// preemptionCost is added to the time at which a worker has room for each task
+	// that has to be preempted there: the task loses about as much when it resumes.
+	preemptionCost = 200 * time.Millisecond
+	// minBackfillTime is the time before a reservation begins from which tasks that
+	// can be preempted for it may use its room.
+	minBackfillTime = 1500 * time.Millisecond
+)
+
+// reservation is room on one worker that is kept for a waiting step. It serves
+// steps whose tasks need most of a worker, or several workers at once: without it
+// smaller tasks take each piece of room as it becomes free, and the step waits
+// until the load ends.
+type reservation struct {
+	unit *unit
+	host *host
+	room modeler.Resources
+	// blockers are the attempts that have to end before the room is free.
+	blockers []*run
+	// from is when the room is expected to be free if all attempts that can be
+	// preempted are stopped in time.
+	from modeler.ClockReading
+}
+
+// release is the expected end of an attempt.
+type release struct {
+	run *run
+	at  modeler.ClockReading
+	// preempted means that the attempt is stopped for the step.
+	preempted bool
+}
+
+// opening is the earliest room for one more task of a step on a worker.
+type opening struct {
+	host *host
+	// tasks counts the tasks of the step that have room there, including this one.
+	tasks int
+	at    modeler.ClockReading
+	// rank orders the openings of all workers; the lowest is best.
+	rank modeler.ClockReading
+	// blockers are the releases that the opening waits for.
+	blockers []release
+}
+
+// fits reports whether need fits into room. Room may be negative in dimensions
+// that the task doesn't need.
+func fits(need, room modeler.Resources) bool {
+	return (need.Processors <= 0 || need.Processors <= room.Processors) &&
+		(need.Memory <= 0 || need.Memory <= room.Memory) &&
+		(need.Accelerators <= 0 || need.Accelerators <= room.Accelerators)
+}
+
+// least returns the smaller amount of each resource.
+func least(a, b modeler.Resources) modeler.Resources {
+	return modeler.Resources{
+		Processors:   min(a.Processors, b.Processors),
+		Memory:       min(a.Memory, b.Memory),
+		Accelerators: min(a.Accelerators, b.Accelerators),
+	}
+}
+
+// roomFor returns the free resources of a worker that a task of the step may use:
+// those that remain now, and once the reservations of more urgent steps begin.
+func (d *Dispatcher) roomFor(now modeler.ClockReading, u *unit, h *host) modeler.Resources {
+	free := h.free()
+	if len(h.reservations) == 0 {
+		return free
+	}
+	later := free
+	reserved := false
+	var counted []*run
+	for _, v := range h.reservations {
+		if v.unit == u || compareUnits(v.unit, u) > 0 || d.mayBackfill(now, u, v) {
+			continue
+		}
+		reserved = true
+		later = later.Sub(v.room)
+		for _, r := range v.blockers {
+			if h.runs[r.task] == r && !slices.Contains(counted, r) {
+				counted = append(counted, r)
+				later = later.Add(r.need)
+			}
+		}
+	}
+	if !reserved {
+		return free
+	}
+	return least(free, later)
+}
+
+// mayBackfill reports whether a task of the step may use the room of a reservation
+// until that begins: it is likely to end before, or can be preempted then.
+func (d *Dispatcher) mayBackfill(now modeler.ClockReading, u *unit, v *reservation) bool {
+	if u.step.Gang || u.step.LongRunning {
+		return false
+	}
+	if u.policy.Priority > v.unit.policy.Priority && u.step.Checkpoints && !u.step.Backfill && v.from >= now.Add(minBackfillTime) {
+		return true
+	}
+	return u.step.Estimate > 0 && now.Add(u.longestLikelyRuntime()) <= v.from
+}
+
+// reserve plans the room for the waiting tasks of a step, keeps it from less
+// urgent steps, and stops the attempts that can be preempted for it as soon as all
+// others are about to end. A gang gets room for all of its members or none.
+func (d *Dispatcher) reserve(now modeler.ClockReading, u *unit) {
+	earlier := u.reservations
+	d.releaseReservations(u)
+	if u.timeliness == expired || u.step.Backfill {
+		return
+	}
+	var openings []opening
+	for _, h := range d.permittedHosts(now, u) {
+		openings = append(openings, d.openingsOn(now, u, h, earlier)...)
+	}
+	if u.step.Gang && len(openings) < len(u.waiting) {
+		return
+	}
+	slices.SortFunc(openings, func(a, b opening) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.host.worker.ID, b.host.worker.ID), cmp.Compare(a.tasks, b.tasks))
+	})
+	// Openings of one worker are in order, so its last chosen one counts for all.
+	chosen := make(map[*host]opening)
+	var hosts []*host
+	var last modeler.ClockReading
+	for _, o := range openings[:min(len(openings), len(u.waiting))] {
+		if _, known := chosen[o.host]; !known {
+			hosts = append(hosts, o.host)
+		}
+		chosen[o.host] = o
+		last = max(last, o.beginsAt(now))
+	}
+	stopped := 0
+	for _, h := range hosts {
+		o := chosen[h]
+		from := o.beginsAt(now)
+		if u.step.Gang {
+			from = last
+		}
+		d.addReservation(u, o, from)
+		if from <= now.Add(d.settings.MaxStopTime) {
+			stopped += d.preempt(now, u, o)
+		}
+	}
+	if stopped > 0 {
+		d.settings.Log("tasks preempted", "request", u.key.Flow, "occurrence", u.key.Occurrence, "step", u.key.Step,
+			"waiting", len(u.waiting), "stopped", stopped, "waited", now.Sub(u.readyAt).String())
+	}
+}
+
+// addReservation records that the room of an opening is kept for the step.
+func (d *Dispatcher) addReservation(u *unit, o opening, from modeler.ClockReading) {
+	v := &reservation{unit: u, host: o.host, room: neededBy(u.step).Times(int64(o.tasks)), from: from}
+	for _, e := range o.blockers {
+		v.blockers = append(v.blockers, e.run)
+	}
+	u.reservations = append(u.reservations, v)
+	o.host.reservations = append(o.host.reservations, v)
+}
+
+func (d *Dispatcher) releaseReservations(u *unit) {
+	for _, v := range u.reservations {
+		v.host.reservations = slices.DeleteFunc(v.host.reservations, func(other *reservation) bool { return other == v })
+	}
+	u.reservations = nil
+}
+
+// beginsAt returns when the room is free if attempts that can be preempted are
+// stopped in time.
+func (o *opening) beginsAt(now modeler.ClockReading) modeler.ClockReading {
+	at := now
+	for _, e := range o.blockers {
+		if !e.preempted {
+			at = max(at, e.at)
+		}
+	}
+	return at
+}
+
+// permittedHosts returns the workers that may run tasks of the step. Permits that
+// have expired count: they are renewed while the step waits.
+func (d *Dispatcher) permittedHosts(now modeler.ClockReading, u *unit) []*host {
+	var out []*host
+	if u.policy.Permits == nil {
+		for _, h := range d.hostList {
+			if u.allows(now, h) && d.usable(now, h) {
+				out = append(out, h)
+			}
+		}
+		return out
+	}
+	for id, p := range u.permits {
+		h := d.hosts[id]
+		if h != nil && p.generation == h.worker.Generation && h.worker.Service == u.policy.Service && d.usable(now, h) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// openingsOn returns the openings for the waiting tasks of the step on a worker, in
+// order of time.
+func (d *Dispatcher) openingsOn(now modeler.ClockReading, u *unit, h *host, earlier []*reservation) []opening {
+	need := neededBy(u.step)
+	room := h.free()
+	for _, v := range h.reservations {
+		if compareUnits(v.unit, u) < 0 {
+			room = room.Sub(v.room)
+		}
+	}
+	most := len(u.waiting)
+	if u.step.PerWorker > 0 {
+		most = min(most, u.step.PerWorker-u.runsOn[h.worker.ID])
+	}
+	releases := d.releasesOn(now, u, h)
+	isReserved := slices.ContainsFunc(earlier, func(v *reservation) bool { return v.host == h })
+	var out []opening
+	at, used, preempted := now, 0, 0
+	for n := 1; n <= most; n++ {
+		for !fits(need.Times(int64(n)), room) {
+			if used == len(releases) {
+				return out
+			}
+			e := releases[used]
+			used++
+			room = room.Add(e.run.need)
+			at = max(at, e.at)
+			if e.preempted {
+				preempted++
+			}
+		}
+		rank := at.Add(time.Duration(preempted) * preemptionCost)
+		if isReserved {
+			rank = rank.Add(-keepReservation)
+		}
+		out = append(out, opening{host: h, tasks: n, at: at, rank: rank, blockers: releases[:used:used]})
+	}
+	return out
+}
+
+// releasesOn returns the expected ends of the attempts on a worker in order of
+// time. Attempts that can be preempted for the step end soon after a stop.
+func (d *Dispatcher) releasesOn(now modeler.ClockReading, u *unit, h *host) []release {
+	mayPreempt := !u.step.LongRunning && now.Sub(u.readyAt) >= preemptAfter
+	var out []release
+	for _, r := range h.runs {
+		e := release{run: r}
+		switch {
+		case r.stopping, r.phase == ending:
+			e.at = r.stopSentAt.Add(d.settings.MaxStopTime)
+		case r.unit == nil || r.unit.step.LongRunning || r.unit.step.Backfill:
+			continue
+		default:
+			e.at = now.Add(r.remainingTime(now))
+			if end := d.preemptionEnd(now, u, r); mayPreempt && end < e.at && isPreemptableKind(u, r) {
+				e.at, e.preempted = end, true
+			}
+		}
+		e.at = max(e.at, now)
+		out = append(out, e)
+	}
+	slices.SortFunc(out, func(a, b release) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.run.unsaved(now), b.run.unsaved(now)), compareRuns(a.run, b.run))
+	})
+	return out
+}
+
+// preemptionEnd returns when the room of an attempt is free if it is preempted for
+// the step as soon as its work is saved.
+func (d *Dispatcher) preemptionEnd(now modeler.ClockReading, u *unit, r *run) modeler.ClockReading {
+	end := now.Add(d.settings.MaxStopTime + freedRoomDelay)
+	if !d.isPreemptable(now, u, r) {
+		end = end.Add(maxUnsaved)
+	}
+	return end
+}
+
+// preempt stops the attempts that an opening has to preempt. It returns how many it
+// has stopped; attempts with much unsaved work go on until their next checkpoint.
+func (d *Dispatcher) preempt(now modeler.ClockReading, u *unit, o opening) int {
+	stopped := 0
+	for _, e := range o.blockers {
+		if e.preempted && d.isPreemptable(now, u, e.run) {
+			d.stopRun(now, e.run, "a more urgent step needs its room")
+			stopped++
+		}
+	}
+	return stopped
+}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -107,9 +107,9 @@
 	return &f.Spec.Steps[task.Step]
 }
 
-// reservation returns the resources that a task of the step reserves on its
-// worker. Backfill uses idle processors and reserves none of them.
-func reservation(step *modeler.Step) modeler.Resources {
+// neededBy returns the resources that a task of the step reserves on its worker.
+// Backfill uses idle processors and reserves none of them.
+func neededBy(step *modeler.Step) modeler.Resources {
 	need := step.Need
 	if step.Backfill {
 		need.Processors = 0
@@ -129,7 +129,7 @@
 		share:      100,
 	}
 	if step := d.step(start.Task); step != nil {
-		r.need = reservation(step)
+		r.need = neededBy(step)
 	}
 	h.runs[r.task] = r
 	h.used = h.used.Add(r.need)
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -39,9 +39,8 @@
 	// next one is due at retryAt.
 	lacksWorkers bool
 	retryAt      modeler.ClockReading
-	// nextPreemptionAt is when tasks may be preempted for the step again. Until
-	// then the resources of those preempted before should become free.
-	nextPreemptionAt modeler.ClockReading
+	// reservations holds the room that is kept for the waiting tasks.
+	reservations []*reservation
 	// runsOn counts the step's attempts on each worker.
 	runsOn  map[modeler.WorkerID]int
 	permits map[modeler.WorkerID]permit
@@ -160,6 +159,7 @@
 			d.sortedUnits = slices.Delete(d.sortedUnits, at, at+1)
 		}
 		u.ready = false
+		d.releaseReservations(u)
 		for i := range u.step.Count {
 			delete(d.heldBack, u.task(modeler.TaskIndex(i)))
 		}
@@ -211,6 +211,14 @@
 	return time.Duration(float64(u.step.Estimate) * u.dispatcher.queue(u.flow.Spec.Queue).runtimeRatio)
 }
 
+// longestLikelyRuntime returns how long a task of the step runs at most in about
+// five of six cases.
+func (u *unit) longestLikelyRuntime() time.Duration {
+	q := u.dispatcher.queue(u.flow.Spec.Queue)
+	deviation := max(math.Sqrt(q.logVariance), minDeviation)
+	return time.Duration(float64(u.step.Estimate) * math.Exp(q.logMean+deviation))
+}
+
 // markFollowersReady marks the steps that become ready once all tasks of u are
 // done.
 func (d *Dispatcher) markFollowersReady(now modeler.ClockReading, u *unit) {
