--- a/cmd/goldcreststack/measure.go
+++ b/cmd/goldcreststack/measure.go
@@ -18,7 +18,7 @@
 		Short: "Measure placement, waiting, the log and its files on this machine",
 		Long: "Measure runs the project's own measurements in this process. Nothing is sent over the network.\n\n" +
 			"Random inputs come from a fixed seed that is printed, and --seed sets another. Times depend on the machine\n" +
-			"and on GOMAXPROCS; the figures of day, waiting and shares don't.",
+			"and on GOMAXPROCS; the figures of day, pool, waiting and shares don't.",
 		Example: "  goldcreststack measure day\n" +
 			"  GOMAXPROCS=1 goldcreststack measure placement --workers 48,500 --json",
 		Args: cobra.NoArgs,
@@ -27,6 +27,7 @@
 	cmd.AddCommand(
 		newMeasurePlacement(),
 		newMeasureDay(),
+		newMeasurePool(),
 		newMeasureWaiting(),
 		newMeasureShares(),
 		newMeasureLog(),
@@ -50,6 +51,28 @@
 	return cmd
 }
 
+func newMeasurePool() *cobra.Command {
+	file, seeds := "samples/pool/accelerators.json", 20
+	cmd := &cobra.Command{
+		Use:   "pool",
+		Short: "Run random days of one pool with and without each scheduling decision",
+		Long: "Pool reads the workers and the load of a pool from a file and runs the same random days with the leader's\n" +
+			"decisions and without each of them. It prints the share of the worth that callers get, by queue and over the\n" +
+			"day, and a bound that no policy can exceed.",
+		Example: "  goldcreststack measure pool\n  goldcreststack measure pool --file pool.json --seeds 5 --json",
+	}
+	f := cmd.Flags()
+	f.StringVar(&file, "file", file, "JSON file with the pool and its load")
+	f.IntVar(&seeds, "seeds", seeds, "number of days, each with a seed of its own")
+	return measureCommand(cmd, func() (measurement, error) {
+		s, err := evaluator.ReadPool(file)
+		if err != nil {
+			return nil, err
+		}
+		return evaluator.MeasurePool(file, s, evaluator.PoolPolicies(), seeds)
+	})
+}
+
 func newMeasurePlacement() *cobra.Command {
 	s := evaluator.DefaultPlacement()
 	cmd := &cobra.Command{
--- a/dispatcher/copy.go
+++ b/dispatcher/copy.go
@@ -20,6 +20,9 @@
 // copyTasksOfUnanswered lets the tasks of workers that don't answer start
 // elsewhere, if several attempts of them may run at the same time.
 func (d *Dispatcher) copyTasksOfUnanswered(now modeler.ClockReading) {
+	if !d.uses(Copy) {
+		return
+	}
 	var unanswered []*host
 	for _, h := range d.hostList {
 		if h.unanswered >= copyAfterUnanswered && !h.gone {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -19,6 +19,8 @@
 	// MaxTimeOverTarget is how long a serving task may exceed its latency target because of
 	// backfill beside it.
 	MaxTimeOverTarget time.Duration
+	// Disabled switches decisions off.
+	Disabled map[Decision]bool
 	// Log writes one log line about a decision; it must not block.
 	Log func(event string, pairs ...any)
 }
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -695,7 +695,7 @@
 }
 
 func (d *Dispatcher) quarantineHost(now modeler.ClockReading, h *host, why string) {
-	if h.isQuarantined(now) {
+	if h.isQuarantined(now) || !d.uses(Quarantine) {
 		return
 	}
 	quarantined := 0
--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -149,7 +149,7 @@
 // if it names more workers, and most of a second request. Each call begins with
 // another worker, so that different steps wait for different workers.
 func (d *Dispatcher) addFullWorkers(now modeler.ClockReading, u *unit, names []modeler.WorkerID) []modeler.WorkerID {
-	hasEnough := len(u.permits) >= fullWorkersPerTask*len(u.waiting)
+	hasEnough := !d.uses(HoldPermits) || len(u.permits) >= fullWorkersPerTask*len(u.waiting)
 	for i := 0; i < len(d.hostList) && len(names) < maxAsked; i++ {
 		d.searchStart = (d.searchStart + 1) % len(d.hostList)
 		h := d.hostList[d.searchStart]
@@ -169,8 +169,12 @@
 	if u.denied[id] || h.worker.Service != u.policy.Service || !d.usable(now, h) {
 		return false
 	}
+	lead := time.Duration(0)
+	if d.uses(HoldPermits) {
+		lead = renewalLead(u.policy.Permits)
+	}
 	p, known := u.permits[id]
-	if known && p.expiresAt > now.Add(renewalLead(u.policy.Permits)) && p.generation == h.worker.Generation {
+	if known && p.expiresAt > now.Add(lead) && p.generation == h.worker.Generation {
 		return false
 	}
 	return u.step.Label == "" || slices.Contains(h.worker.Labels, u.step.Label)
--- a/dispatcher/prospect.go
+++ b/dispatcher/prospect.go
@@ -62,6 +62,9 @@
 // processes: if units were ordered by latest start alone, steps that are
 // already late would go first and make all others late too.
 func (d *Dispatcher) updateTimeliness() {
+	if !d.uses(Timeliness) {
+		return
+	}
 	changed := false
 	for _, u := range d.sortedUnits {
 		if len(u.waiting) == 0 || u.step.LongRunning || u.step.Backfill {
--- a/dispatcher/reserve.go
+++ b/dispatcher/reserve.go
@@ -153,7 +153,9 @@
 		if u.step.Gang {
 			from = last
 		}
-		d.addReservation(u, o, from)
+		if d.uses(Reserve) {
+			d.addReservation(u, o, from)
+		}
 		if from <= now.Add(d.settings.MaxStopTime) {
 			stopped += d.preempt(now, u, o)
 		}
@@ -257,7 +259,7 @@
 // releasesOn returns the expected ends of the attempts on a worker in order of
 // time. Attempts that can be preempted for the step end soon after a stop.
 func (d *Dispatcher) releasesOn(now modeler.ClockReading, u *unit, h *host) []release {
-	mayPreempt := !u.step.LongRunning && now.Sub(u.readyAt) >= preemptAfter
+	mayPreempt := d.uses(Preempt) && !u.step.LongRunning && now.Sub(u.readyAt) >= preemptAfter
 	var out []release
 	for _, r := range h.runs {
 		e := release{run: r}
--- a/dispatcher/speed.go
+++ b/dispatcher/speed.go
@@ -77,6 +77,9 @@
 // speedScore returns the part of a worker's score for a step that depends on
 // the worker's speed.
 func (d *Dispatcher) speedScore(u *unit, h *host) float64 {
+	if !d.uses(Speed) {
+		return 0
+	}
 	return speedScoreWeight * d.slowdownRange.speedPreference(u) * h.speed.slowness()
 }
 
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -263,7 +263,7 @@
 			d.markReadySteps(now, id)
 		}
 		for _, u := range units {
-			if !u.ready && u.policy.Permits != nil {
+			if !u.ready && u.policy.Permits != nil && d.uses(PermitsAhead) {
 				u.isReadySoon = d.likelyReadySoon(now, u)
 			}
 		}
