Learn run times, and preempt no task that would miss its objective

Cause: estimates of callers are off by factors of up to 20, and deadlines, order and backfill believed them: a flow of 4 s with an estimate of 0.2 s was passed over as expired long before its caller gave up. Change: a regression per queue between the logarithms of estimate and run time, and the run times of the step's own tasks, give the expected run time.

--- a/dispatcher/decision.go
+++ b/dispatcher/decision.go
@@ -20,12 +20,16 @@
 	Timeliness Decision = "timeliness"
 	// Speed prefers fast or slow workers by the objective of the step.
 	Speed Decision = "speeds"
+	// VictimSlack preempts no task that would miss its objective.
+	VictimSlack Decision = "victims' slack"
+	// Runtimes learns run times instead of believing estimates.
+	Runtimes Decision = "learned run times"
 	// PermitsAhead asks for the permits of a step before it is ready.
 	PermitsAhead Decision = "permits ahead"
 )
 
 // Decisions lists all decisions that can be switched off.
-var Decisions = []Decision{HoldPermits, Reserve, Preempt, Copy, Quarantine, Timeliness, Speed, PermitsAhead}
+var Decisions = []Decision{HoldPermits, Reserve, Preempt, Copy, Quarantine, Timeliness, Speed, PermitsAhead, VictimSlack, Runtimes}
 
 // uses reports whether a decision is not switched off.
 func (d *Dispatcher) uses(x Decision) bool { return !d.settings.Disabled[x] }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -91,11 +91,10 @@
 type queueStats struct {
 	// allowed is the estimated share of workers that the outside policy allows.
 	allowed float64
-	// runtimeRatio is a running mean of run time divided by estimate.
-	runtimeRatio float64
-	// logMean and logVariance describe the logarithm of the same ratio.
-	logMean     float64
-	logVariance float64
+	// runtimes predicts the run times of its tasks; learned counts those that it has
+	// learned from.
+	runtimes runtimes
+	learned  int
 }
 
 // New returns the dispatcher of a new leader, built from the committed state.
@@ -215,7 +214,7 @@
 func (d *Dispatcher) queue(id modeler.QueueID) *queueStats {
 	q := d.queues[id]
 	if q == nil {
-		q = &queueStats{allowed: 0.5, runtimeRatio: 1, logVariance: initialDeviation * initialDeviation}
+		q = &queueStats{allowed: 0.5, runtimes: newRuntimes()}
 		d.queues[id] = q
 	}
 	return q
--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -34,6 +34,9 @@
 	fullWorkersPerTask = 4
 )
 
+// learnRate is the weight of the newest observation in a running mean.
+const learnRate = 0.1
+
 // NextPermitRequest returns the next permit request for the outside policy, if there is
 // one. It skips requests with a slow decision unless slow is set.
 func (d *Dispatcher) NextPermitRequest(now modeler.ClockReading, slow bool) (modeler.PermitRequest, bool) {
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -219,6 +219,7 @@
 	free := h.free().Sub(neededBy(u.step))
 	whole := max(h.worker.Capacity.Processors, 1)
 	score := float64(free.Processors)/float64(whole) + d.speedScore(u, h)
+
 	if u.step.DataRack != "" && h.worker.Rack != u.step.DataRack {
 		score += penalty
 	}
--- a/dispatcher/preempt.go
+++ b/dispatcher/preempt.go
@@ -42,6 +42,9 @@
 	if !isPreemptableKind(u, r) {
 		return false
 	}
+	if deadline := r.unit.latestStart.Add(r.unit.expectedRuntime()); d.uses(VictimSlack) && r.unit.timeliness == inTime && d.stamp <= deadline && d.stamp.Add(r.remainingTime(now)+1500*time.Millisecond) > deadline {
+		return false
+	}
 	unsaved, ran := r.unsaved(now), now.Sub(r.startedAt)
 	return unsaved <= maxUnsaved && unsaved*lostWorkDivisor <= ran
 }
--- a/dispatcher/prospect.go
+++ b/dispatcher/prospect.go
@@ -70,6 +70,10 @@
 		if len(u.waiting) == 0 || u.step.LongRunning || u.step.Backfill {
 			continue
 		}
+		if d.uses(Runtimes) && u.learned != d.queue(u.flow.Spec.Queue).learned {
+			d.setDeadlines(d.flowUnits[u.key.Flow])
+			changed = true
+		}
 		if p := u.deadlines.at(d.stamp); p != u.timeliness {
 			u.timeliness = p
 			changed = true
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -534,7 +534,7 @@
 		u.failedOn[e.Task.Index] = r.host.worker.ID
 	}
 	if e.Kind == modeler.EndDone && r != nil && r.startedAt != 0 && !r.predatesLeader {
-		d.learnRuntime(now, u, r)
+		d.learnRuntime(u, r, now.Sub(r.startedAt))
 	}
 	u.updateWaiting()
 	if e.Kind == modeler.EndDone {
--- /dev/null
+++ b/dispatcher/runtime.go
@@ -0,0 +1,116 @@
+package dispatcher
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// priorSamples is the number of samples that the caller's estimates count for.
+	priorSamples = 3.0
+	// priorVariance is the variance of the logarithm of estimates that a queue is
+	// assumed to have before its own is known.
+	priorVariance = 0.25
+	// maxSamples bounds the weight of earlier samples, so that newer ones replace
+	// them.
+	maxSamples = 200.0
+	// siblingSamples is the number of samples of the queue that one task of the same
+	// step counts for: tasks of a step differ less than the steps of a queue.
+	siblingSamples = 4.0
+	// initialDeviation is the assumed standard deviation of log(run time / expected
+	// run time) before any task of the queue has ended: a factor of 1.6.
+	initialDeviation = 0.5
+)
+
+// runtimes predicts the run times of a queue's tasks from the estimates of callers
+// and the run times of earlier tasks. It is a linear regression between the
+// logarithms: where estimates say little, the usual run time of the queue counts.
+type runtimes struct {
+	// samples is the weight of all samples. The other fields are weighted means:
+	// of the logarithms of estimates and run times, and of their products around
+	// these means.
+	samples    float64
+	estimate   float64
+	runtime    float64
+	variance   float64
+	covariance float64
+	// squares is the mean square of the prediction's error, and bias its mean.
+	squares float64
+}
+
+func newRuntimes() runtimes {
+	return runtimes{variance: priorVariance, covariance: priorVariance, squares: initialDeviation * initialDeviation}
+}
+
+// predict returns the expected logarithm of the run time for the logarithm of an
+// estimate.
+func (t *runtimes) predict(estimate float64) float64 {
+	slope := (t.samples*t.covariance + priorSamples*priorVariance) / (t.samples*t.variance + priorSamples*priorVariance)
+	learned := t.runtime + slope*(estimate-t.estimate)
+	return (t.samples*learned + priorSamples*estimate) / (t.samples + priorSamples)
+}
+
+// deviation returns the standard deviation of the logarithm of a run time from its
+// prediction.
+func (t *runtimes) deviation() float64 { return max(math.Sqrt(t.squares), minDeviation) }
+
+// add learns the run time of a task. Tasks of one step share an estimate, so each of
+// them has a weight below 1.
+func (t *runtimes) add(estimate, runtime, weight float64) {
+	miss := runtime - t.predict(estimate)
+	t.samples = min(t.samples+weight, maxSamples)
+	rate := weight / t.samples
+	t.squares += weight / (t.samples + priorSamples) * (miss*miss - t.squares)
+	fromEstimate, fromRuntime := estimate-t.estimate, runtime-t.runtime
+	t.estimate += rate * fromEstimate
+	t.runtime += rate * fromRuntime
+	t.variance += rate * (fromEstimate*(estimate-t.estimate) - t.variance)
+	t.covariance += rate * (fromEstimate*(runtime-t.runtime) - t.covariance)
+}
+
+// logOf returns the logarithm of a time in seconds.
+func logOf(d time.Duration) float64 { return math.Log(max(d.Seconds(), 0.001)) }
+
+// expOf returns the time of a logarithm of seconds.
+func expOf(x float64) time.Duration { return time.Duration(math.Exp(x) * float64(time.Second)) }
+
+// predictedLog returns the expected logarithm of the run time of a task of the step,
+// from its queue and from those of its tasks that are done.
+func (u *unit) predictedLog() float64 {
+	if !u.dispatcher.uses(Runtimes) {
+		return logOf(u.step.Estimate)
+	}
+	usual := u.dispatcher.queue(u.flow.Spec.Queue).runtimes.predict(logOf(u.step.Estimate))
+	weight := siblingSamples * float64(u.doneTasks)
+	return (usual + weight*u.doneRuntime) / (1 + weight)
+}
+
+// expectedRuntime returns how long a task of the step is likely to run, or 0 if
+// its caller gave no estimate.
+func (u *unit) expectedRuntime() time.Duration {
+	if u.step.Estimate <= 0 {
+		return 0
+	}
+	return expOf(u.predictedLog())
+}
+
+// longestLikelyRuntime returns how long a task of the step runs at most in about
+// five of six cases.
+func (u *unit) longestLikelyRuntime() time.Duration {
+	return expOf(u.predictedLog() + u.dispatcher.queue(u.flow.Spec.Queue).runtimes.deviation())
+}
+
+// learnRuntime learns from the run time of a completed task: for its queue, its
+// step and the speed of its worker.
+func (d *Dispatcher) learnRuntime(u *unit, r *run, took time.Duration) {
+	if u.step.Estimate <= 0 || u.step.LongRunning || u.step.Backfill || r.attempt > 1 {
+		return
+	}
+	q := d.queue(u.flow.Spec.Queue)
+	estimate, runtime := logOf(u.step.Estimate), logOf(took)
+	r.host.speed.addSample(runtime-u.predictedLog(), q.runtimes.squares)
+	q.runtimes.add(estimate, runtime, 1/math.Sqrt(float64(u.step.Count)))
+	q.learned++
+	u.doneTasks++
+	u.doneRuntime += (runtime - u.doneRuntime) / float64(u.doneTasks)
+}
--- a/dispatcher/slow.go
+++ b/dispatcher/slow.go
@@ -1,16 +1,12 @@
 package dispatcher
 
 import (
-	"math"
 	"time"
 
 	"goldcreststack.example/goldcreststack/modeler"
 )
 
 const (
-	// initialDeviation is the assumed standard deviation of log(run time /
-	// estimate) before any task of the queue has ended: a factor of 1.6.
-	initialDeviation = 0.5
 	// minDeviation covers the speeds of workers, which range from 0.8 to 1.25.
 	minDeviation = 0.25
 	// slowDeviations is the number of standard deviations from which a task counts
@@ -53,8 +49,7 @@
 	}
 	projected := elapsed + rest
 	q := d.queue(r.unit.flow.Spec.Queue)
-	deviation := max(math.Sqrt(q.logVariance), minDeviation)
-	if math.Log(float64(projected)/float64(step.Estimate)) < q.logMean+slowDeviations*deviation {
+	if logOf(projected) < r.unit.predictedLog()+slowDeviations*q.runtimes.deviation() {
 		return
 	}
 	// Tasks of one step share the error of their estimate, so tasks of a single
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -10,9 +9,6 @@
 	"goldcreststack.example/goldcreststack/sequencer"
 )
 
-// learnRate is the weight of the newest observation in a running mean.
-const learnRate = 0.1
-
 // unit is what the dispatcher schedules as a whole: one step in one occurrence
 // of a flow.
 type unit struct {
@@ -51,6 +47,12 @@
 	isAsking     bool
 	nextAskAt    modeler.ClockReading
 	readyAt      modeler.ClockReading
+	// doneTasks counts the completed tasks of the step, and doneRuntime is the mean
+	// logarithm of their run times.
+	doneTasks   int
+	doneRuntime float64
+	// learned is the count of the queue's run times that the deadlines rest on.
+	learned int
 }
 
 // permit is the outside policy's permission to run tasks of a step on one
@@ -68,8 +70,6 @@
 		return
 	}
 	d.slowdownRange.include(&f.Spec.Policy)
-	rest := longestChains(f.Spec.Steps)
-	longest := slices.Max(rest)
 	var units []*unit
 	for k := range f.Occurrences() {
 		for s := range f.Spec.Steps {
@@ -85,12 +85,6 @@
 				denied:     make(map[modeler.WorkerID]bool),
 				runsOn:     make(map[modeler.WorkerID]int),
 			}
-			slack := time.Duration(f.Spec.Policy.Slowdown*float64(longest)) + f.Spec.Policy.Latency
-			u.latestStart = d.dueTime(f, k).Add(slack - rest[s])
-			u.deadlines = newDeadlines(u.latestStart, slack, f.Spec.Policy.Latency)
-			if !u.step.LongRunning && !u.step.Backfill {
-				u.timeliness = u.deadlines.at(d.stamp)
-			}
 			u.updateWaiting()
 			for i := range u.step.Count {
 				if r := d.runs[u.task(modeler.TaskIndex(i))]; r != nil && r.phase != ending {
@@ -103,6 +97,7 @@
 		}
 	}
 	d.flowUnits[id] = units
+	d.setDeadlines(units)
 	for _, u := range units {
 		at, _ := slices.BinarySearchFunc(d.sortedUnits, u, compareUnits)
 		d.sortedUnits = slices.Insert(d.sortedUnits, at, u)
@@ -112,13 +107,33 @@
 		"age", time.Duration(d.stamp-f.ArrivedAt)*time.Millisecond, "ticket", d.state.Layout().Number, "term", d.term)
 }
 
-// longestChains returns for each step the sum of estimates along the longest
+// setDeadlines computes when the steps of a flow have to start, from the run times
+// that are expected now.
+func (d *Dispatcher) setDeadlines(units []*unit) {
+	f := units[0].flow
+	steps := len(f.Spec.Steps)
+	for k := range f.Occurrences() {
+		occurrence := units[k*steps : (k+1)*steps]
+		rest := longestChains(occurrence)
+		slack := time.Duration(f.Spec.Policy.Slowdown*float64(slices.Max(rest))) + f.Spec.Policy.Latency
+		for s, u := range occurrence {
+			u.latestStart = d.dueTime(f, k).Add(slack - rest[s])
+			u.deadlines = newDeadlines(u.latestStart, slack, f.Spec.Policy.Latency)
+			u.learned = d.queue(f.Spec.Queue).learned
+			if !u.step.LongRunning && !u.step.Backfill && d.uses(Timeliness) {
+				u.timeliness = u.deadlines.at(d.stamp)
+			}
+		}
+	}
+}
+
+// longestChains returns for each step of a flow the expected run time of the longest
 // chain of steps that begins with it.
-func longestChains(steps []modeler.Step) []time.Duration {
-	rest := make([]time.Duration, len(steps))
-	for i := len(steps) - 1; i >= 0; i-- {
-		rest[i] += steps[i].Estimate
-		for _, earlier := range steps[i].After {
+func longestChains(units []*unit) []time.Duration {
+	rest := make([]time.Duration, len(units))
+	for i := len(units) - 1; i >= 0; i-- {
+		rest[i] += units[i].expectedRuntime()
+		for _, earlier := range units[i].step.After {
 			rest[earlier] = max(rest[earlier], rest[i])
 		}
 	}
@@ -206,19 +221,6 @@
 	return modeler.FlowTask{Flow: u.key.Flow, Occurrence: u.key.Occurrence, Step: u.key.Step, Index: i}
 }
 
-// expectedRuntime returns how long a task of the step is likely to run.
-func (u *unit) expectedRuntime() time.Duration {
-	return time.Duration(float64(u.step.Estimate) * u.dispatcher.queue(u.flow.Spec.Queue).runtimeRatio)
-}
-
-// longestLikelyRuntime returns how long a task of the step runs at most in about
-// five of six cases.
-func (u *unit) longestLikelyRuntime() time.Duration {
-	q := u.dispatcher.queue(u.flow.Spec.Queue)
-	deviation := max(math.Sqrt(q.logVariance), minDeviation)
-	return time.Duration(float64(u.step.Estimate) * math.Exp(q.logMean+deviation))
-}
-
 // markFollowersReady marks the steps that become ready once all tasks of u are
 // done.
 func (d *Dispatcher) markFollowersReady(now modeler.ClockReading, u *unit) {
@@ -309,18 +311,3 @@
 	}
 	return max(r.unit.expectedRuntime()-now.Sub(r.startedAt), 0)
 }
-
-// learnRuntime updates the statistics of the queue and the speed of the worker
-// with the run time of a completed task.
-func (d *Dispatcher) learnRuntime(now modeler.ClockReading, u *unit, r *run) {
-	if u.step.Estimate <= 0 || u.step.LongRunning || u.step.Backfill || r.attempt > 1 {
-		return
-	}
-	q := d.queue(u.flow.Spec.Queue)
-	runtimeRatio := float64(now.Sub(r.startedAt)) / float64(u.step.Estimate)
-	q.runtimeRatio += learnRate * (min(runtimeRatio, 4) - q.runtimeRatio)
-	deviation := math.Log(max(runtimeRatio, 0.01)) - q.logMean
-	r.host.speed.addSample(deviation, q.logVariance)
-	q.logMean += learnRate * deviation
-	q.logVariance += learnRate * (deviation*deviation - q.logVariance)
-}
--- a/evaluator/pool.go
+++ b/evaluator/pool.go
@@ -63,7 +63,7 @@
 	Late  float64    `json:"late"`
 	Width PoolSpread `json:"width"` // tasks of a step
 	Work  PoolSpread `json:"work"`  // seconds of a task
-	// Estimates is how far estimates are off: up to a factor of e to this power.
+	// Estimates is the standard deviation of the logarithm of estimate / run time.
 	Estimates    float64                `json:"estimates"`
 	Processors   modeler.Millicores     `json:"processors"`
 	Memory       modeler.Bytes          `json:"memory"`
--- a/evaluator/poolload.go
+++ b/evaluator/poolload.go
@@ -86,7 +86,7 @@
 		Steps: []modeler.Step{{
 			Count:       count,
 			Need:        modeler.Resources{Processors: q.Processors, Memory: q.Memory, Accelerators: accelerators},
-			Estimate:    time.Duration(usual * math.Exp(q.Estimates*(2*rng.Float64()-1)) * float64(time.Second)),
+			Estimate:    time.Duration(usual * math.Exp(q.Estimates*rng.NormFloat64()) * float64(time.Second)),
 			Checkpoints: rng.Float64() < q.Checkpoints,
 			Gang:        gang,
 		}},
