--- a/dispatcher/decision.go
+++ b/dispatcher/decision.go
@@ -22,8 +22,6 @@
 	Speed Decision = "speeds"
 	// VictimSlack preempts no task that would miss its objective.
 	VictimSlack Decision = "victims' slack"
-	// Waves counts how often the workers that a step may use have to run its tasks.
-	Waves Decision = "waves"
 	// Runtimes learns run times instead of believing estimates.
 	Runtimes Decision = "learned run times"
 	// PermitsAhead asks for the permits of a step before it is ready.
@@ -31,7 +29,7 @@
 )
 
 // Decisions lists all decisions that can be switched off.
-var Decisions = []Decision{HoldPermits, Reserve, Preempt, Copy, Quarantine, Timeliness, Speed, PermitsAhead, VictimSlack, Runtimes, Waves}
+var Decisions = []Decision{HoldPermits, Reserve, Preempt, Copy, Quarantine, Timeliness, Speed, PermitsAhead, VictimSlack, Runtimes}
 
 // uses reports whether a decision is not switched off.
 func (d *Dispatcher) uses(x Decision) bool { return !d.settings.Disabled[x] }
--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -212,23 +212,19 @@
 
 // taskCapacity returns how many more tasks of the step the worker can take.
 func (d *Dispatcher) taskCapacity(now modeler.ClockReading, u *unit, h *host, need modeler.Resources) int {
+	free := d.roomFor(now, u, h)
 	n := u.step.Count
 	if u.step.PerWorker > 0 {
 		n = min(n, u.step.PerWorker-u.runsOn[h.worker.ID])
 	}
-	return countFitting(need, d.roomFor(now, u, h), n)
-}
-
-// countFitting returns how many tasks fit into room, at most n.
-func countFitting(need, room modeler.Resources, n int) int {
 	if need.Processors > 0 {
-		n = min(n, int(room.Processors/need.Processors))
+		n = min(n, int(free.Processors/need.Processors))
 	}
 	if need.Memory > 0 {
-		n = min(n, int(room.Memory/need.Memory))
+		n = min(n, int(free.Memory/need.Memory))
 	}
 	if need.Accelerators > 0 {
-		n = min(n, int(room.Accelerators/need.Accelerators))
+		n = min(n, int(free.Accelerators/need.Accelerators))
 	}
 	return max(n, 0)
 }
--- a/dispatcher/prospect.go
+++ b/dispatcher/prospect.go
@@ -70,7 +70,7 @@
 		if len(u.waiting) == 0 || u.step.LongRunning || u.step.Backfill {
 			continue
 		}
-		if d.uses(Runtimes) && u.learned != d.queue(u.flow.Spec.Queue).learned || u.waves != d.wavesOf(u) {
+		if d.uses(Runtimes) && u.learned != d.queue(u.flow.Spec.Queue).learned {
 			d.setDeadlines(d.flowUnits[u.key.Flow])
 			changed = true
 		}
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -51,9 +51,6 @@
 	// logarithm of their run times.
 	doneTasks   int
 	doneRuntime float64
-	// waves is how many times in a row the workers that the step may use have to run
-	// as many of its tasks as they have room for.
-	waves int
 	// learned is the count of the queue's run times that the deadlines rest on.
 	learned int
 }
@@ -120,8 +117,7 @@
 		rest := longestChains(occurrence)
 		slack := time.Duration(f.Spec.Policy.Slowdown*float64(slices.Max(rest))) + f.Spec.Policy.Latency
 		for s, u := range occurrence {
-			u.waves = d.wavesOf(u)
-			u.latestStart = d.dueTime(f, k).Add(slack - rest[s] - time.Duration(u.waves-1)*u.expectedRuntime())
+			u.latestStart = d.dueTime(f, k).Add(slack - rest[s])
 			u.deadlines = newDeadlines(u.latestStart, slack, f.Spec.Policy.Latency)
 			u.learned = d.queue(f.Spec.Queue).learned
 			if !u.step.LongRunning && !u.step.Backfill && d.uses(Timeliness) {
@@ -131,28 +127,6 @@
 	}
 }
 
-// wavesOf returns how many tasks of the step have to run one after the other, since
-// the outside policy allows few workers.
-func (d *Dispatcher) wavesOf(u *unit) int {
-	if u.policy.Permits == nil || len(u.permits) == 0 || !d.uses(Waves) {
-		return 1
-	}
-	need := neededBy(u.step)
-	slots := 0
-	for id := range u.permits {
-		if h := d.hosts[id]; h != nil {
-			slots += countFitting(need, h.worker.Capacity, u.step.Count)
-		}
-	}
-	open := 0
-	for _, t := range u.flow.StepTasks(u.key) {
-		if t.Phase != sequencer.TaskDone {
-			open++
-		}
-	}
-	return max(1, (open+slots-1)/max(slots, 1))
-}
-
 // longestChains returns for each step of a flow the expected run time of the longest
 // chain of steps that begins with it.
 func longestChains(units []*unit) []time.Duration {
