--- a/dispatcher/load_test.go
+++ b/dispatcher/load_test.go
@@ -213,6 +213,36 @@
 	}
 }
 
+// BenchmarkPlacement measures passes of the placement over steps that wait in a full
+// cell. One operation is one pass 25 ms after the last one, with its tick.
+func BenchmarkPlacement(b *testing.B) {
+	for _, size := range []struct{ workers, waiting int }{{350, 300}, {1100, 2000}} {
+		b.Run(fmt.Sprintf("%d-on-%d", size.waiting, size.workers), func(b *testing.B) {
+			var c *largeCell
+			for i := range b.N {
+				if i%passesPerCell == 0 {
+					b.StopTimer()
+					c = newLargeCell(size.workers)
+					c.run(time.Second, 1)
+					// Each worker has room for 4 tasks, each flow has 13.
+					for range size.workers*4/13 + size.waiting {
+						c.submit()
+					}
+					c.run(300*time.Millisecond, 1)
+					b.StartTimer()
+				}
+				c.now = c.now.Add(25 * time.Millisecond)
+				c.leader.Tick(c.now, c.stamp())
+				c.leader.Output(c.now)
+			}
+		})
+	}
+}
+
+// passesPerCell is how many passes a cell is used for: within them no lease expires
+// and no worker falls silent.
+const passesPerCell = 20
+
 // Guards against a new leader of a large cell that sends first renewals to its
 // workers one after the other. Tasks that have ended on workers that it hasn't
 // reached yet delay all steps that follow. The first renewals and an election
--- a/dispatcher/reserve.go
+++ b/dispatcher/reserve.go
@@ -9,9 +9,12 @@
 )
 
 const (
-	// maxReservations bounds the steps that hold reservations at the same time.
-	// Each placement plans them anew.
+	// maxReservations bounds the steps that hold reservations at the same time, and
+	// planInterval is the time between two plans of a step. Each plan examines the
+	// attempts on all workers that the step may use, maxPlanned at most.
 	maxReservations = 32
+	planInterval    = 60 * time.Millisecond
+	maxPlanned      = 64
 	// keepReservation is how much earlier another worker must have room before a
 	// reservation moves there, so that the worker that is being emptied stays.
 	keepReservation = 500 * time.Millisecond
@@ -51,8 +54,8 @@
 	host *host
 	// tasks counts the tasks of the step that have room there, including this one.
 	tasks int
-	at    modeler.ClockReading
-	// rank orders the openings of all workers; the lowest is best.
+	// rank is the time of the opening with the costs of taking it; the openings of
+	// all workers are taken in order of rank.
 	rank modeler.ClockReading
 	// blockers are the releases that the opening waits for.
 	blockers []release
@@ -120,6 +123,10 @@
 // urgent steps, and stops the attempts that can be preempted for it as soon as all
 // others are about to end. A gang gets room for all of its members or none.
 func (d *Dispatcher) reserve(now modeler.ClockReading, u *unit) {
+	if now < u.nextPlanAt {
+		return
+	}
+	u.nextPlanAt = now.Add(planInterval)
 	earlier := u.reservations
 	d.releaseReservations(u)
 	if u.timeliness == expired || u.step.Backfill {
@@ -200,10 +207,14 @@
 func (d *Dispatcher) permittedHosts(now modeler.ClockReading, u *unit) []*host {
 	var out []*host
 	if u.policy.Permits == nil {
-		for _, h := range d.hostList {
+		for i := range d.hostList {
+			h := d.hostList[(u.planStart+i)%len(d.hostList)]
 			if u.allows(now, h) && d.usable(now, h) {
 				out = append(out, h)
 			}
+			if len(out) == maxPlanned {
+				break
+			}
 		}
 		return out
 	}
@@ -251,7 +262,7 @@
 		if isReserved {
 			rank = rank.Add(-keepReservation)
 		}
-		out = append(out, opening{host: h, tasks: n, at: at, rank: rank, blockers: releases[:used:used]})
+		out = append(out, opening{host: h, tasks: n, rank: rank, blockers: releases[:used:used]})
 	}
 	return out
 }
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -37,6 +37,11 @@
 	retryAt      modeler.ClockReading
 	// reservations holds the room that is kept for the waiting tasks.
 	reservations []*reservation
+	// nextPlanAt is when the reservations may be planned again, and planStart the
+	// index in hostList at which the plan of a step without permits begins, so that
+	// different steps wait for different workers.
+	nextPlanAt modeler.ClockReading
+	planStart  int
 	// runsOn counts the step's attempts on each worker.
 	runsOn  map[modeler.WorkerID]int
 	permits map[modeler.WorkerID]permit
@@ -84,6 +89,7 @@
 				permits:    make(map[modeler.WorkerID]permit),
 				denied:     make(map[modeler.WorkerID]bool),
 				runsOn:     make(map[modeler.WorkerID]int),
+				planStart:  len(d.units),
 			}
 			u.updateWaiting()
 			for i := range u.step.Count {
