Collect garbage more often on processes that don't lead; log reservations

Cause: all control processes let their heap grow to four times what is in use, though only the leader needs the processor time for something else. Change: GOGC 300 only while leading, 100 otherwise. New log event "room reserved"; the dump shows the reservations and the need of waiting steps.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -64,6 +64,9 @@
 	// Segment is the size in bytes at which a file of the log is closed and a new
 	// one is begun; 0 means the storer's default.
 	Segment int64
+	// OnLeadership is called when the process begins or ends to lead; it must not
+	// block.
+	OnLeadership func(leads bool)
 	// Flows configures how the process runs flows; if nil, it runs none.
 	Flows *FlowSettings
 	// ElectionMin and ElectionMax bound the time without a leader after which a
@@ -98,6 +101,9 @@
 	if settings.SnapshotEvery == 0 {
 		settings.SnapshotEvery = snapshotEvery
 	}
+	if settings.OnLeadership == nil {
+		settings.OnLeadership = func(bool) {}
+	}
 	if settings.SnapshotBytes == 0 {
 		settings.SnapshotBytes = snapshotBytes
 	}
--- a/controller/core.go
+++ b/controller/core.go
@@ -409,6 +409,7 @@
 
 func (c *core) beginLeadership(now modeler.ClockReading, term modeler.Term) {
 	c.controller.settings.Report.Info("leadership begins", "term", term)
+	c.controller.settings.OnLeadership(true)
 	c.leader = newLeadership(c, now, term)
 	c.slotAllocator.Lead(now, term, c.state.Records().Sessions())
 	c.slotAllocator.SetLeaseEnd(c.log.LeaseEnd(now))
@@ -419,6 +420,7 @@
 // proposals will be committed.
 func (c *core) endLeadership() {
 	c.controller.settings.Report.Info("leadership ends", "term", c.leader.term)
+	c.controller.settings.OnLeadership(false)
 	c.leader = nil
 	c.slotAllocator.Resign()
 	for index, p := range c.pendingProposals {
--- a/dispatcher/preempt.go
+++ b/dispatcher/preempt.go
@@ -21,6 +21,9 @@
 	// lostWorkDivisor of the task's run time, since a task that is preempted again
 	// and again would make no progress.
 	lostWorkDivisor = 4
+	// resumeDelay is how much later a preempted task is likely to be done: it is
+	// stopped, waits for room, and reads its checkpoint.
+	resumeDelay = 1500 * time.Millisecond
 	// maxUnsaved bounds the work that one preempted task may lose.
 	maxUnsaved = time.Second
 )
@@ -42,13 +45,24 @@
 	if !isPreemptableKind(u, r) {
 		return false
 	}
-	if deadline := r.unit.latestStart.Add(r.unit.expectedRuntime()); d.uses(VictimSlack) && r.unit.timeliness == inTime && d.stamp <= deadline && d.stamp.Add(r.remainingTime(now)+1500*time.Millisecond) > deadline {
+	if d.uses(VictimSlack) && d.wouldMissObjective(now, r) {
 		return false
 	}
 	unsaved, ran := r.unsaved(now), now.Sub(r.startedAt)
 	return unsaved <= maxUnsaved && unsaved*lostWorkDivisor <= ran
 }
 
+// wouldMissObjective reports whether an attempt is likely to be done in time, but not
+// if it is preempted.
+func (d *Dispatcher) wouldMissObjective(now modeler.ClockReading, r *run) bool {
+	if r.unit.timeliness != inTime {
+		return false
+	}
+	rest := r.remainingTime(now)
+	deadline := r.unit.latestStart.Add(r.unit.expectedRuntime())
+	return d.stamp.Add(rest) <= deadline && d.stamp.Add(rest+resumeDelay) > deadline
+}
+
 // isPreemptableKind reports whether an attempt is less urgent than the step and
 // can resume elsewhere from a checkpoint.
 func isPreemptableKind(u *unit, r *run) bool {
--- a/dispatcher/reserve.go
+++ b/dispatcher/reserve.go
@@ -153,6 +153,9 @@
 		chosen[o.host] = o
 		last = max(last, o.beginsAt(now))
 	}
+	if !sameHosts(earlier, hosts) && d.uses(Reserve) {
+		d.logReserved(now, u, hosts, last)
+	}
 	stopped := 0
 	for _, h := range hosts {
 		o := chosen[h]
@@ -173,6 +176,24 @@
 	}
 }
 
+// sameHosts reports whether reservations are on exactly these workers.
+func sameHosts(reservations []*reservation, hosts []*host) bool {
+	return len(reservations) == len(hosts) && !slices.ContainsFunc(reservations, func(v *reservation) bool {
+		return !slices.Contains(hosts, v.host)
+	})
+}
+
+// logReserved writes one log line when the reservations of a step change.
+func (d *Dispatcher) logReserved(now modeler.ClockReading, u *unit, hosts []*host, last modeler.ClockReading) {
+	workers := make([]modeler.WorkerID, 0, len(hosts))
+	for _, h := range hosts {
+		workers = append(workers, h.worker.ID)
+	}
+	d.settings.Log("room reserved", "request", u.key.Flow, "occurrence", u.key.Occurrence, "step", u.key.Step,
+		"waiting", len(u.waiting), "waited", now.Sub(u.readyAt).String(), "workers", workers, "within", last.Sub(now).String(),
+		"processors", u.step.Need.Processors, "memory", u.step.Need.Memory, "accelerators", u.step.Need.Accelerators)
+}
+
 // addReservation records that the room of an opening is kept for the step.
 func (d *Dispatcher) addReservation(u *unit, o opening, from modeler.ClockReading) {
 	v := &reservation{unit: u, host: o.host, room: neededBy(u.step).Times(int64(o.tasks)), from: from}
--- a/dispatcher/stats.go
+++ b/dispatcher/stats.go
@@ -40,6 +40,10 @@
 	Permitted int  `json:"permitted"`
 	Denied    int  `json:"denied"`
 	Asking    bool `json:"asking"`
+	// Reserved lists the workers on which room is kept for the step, and Need is
+	// what one of its tasks needs.
+	Reserved []modeler.WorkerID `json:"reserved,omitempty"`
+	Need     modeler.Resources  `json:"need"`
 }
 
 // IdleWorker is a worker that gets no tasks, with the reason.
@@ -75,10 +79,15 @@
 		}
 		s.Waiting += len(u.waiting)
 		if len(s.Steps) < maxStatsEntries {
+			var reserved []modeler.WorkerID
+			for _, v := range u.reservations {
+				reserved = append(reserved, v.host.worker.ID)
+			}
 			s.Steps = append(s.Steps, WaitingStep{
 				Request: u.key.Flow, Occurrence: u.key.Occurrence, Step: u.key.Step, Queue: u.flow.Spec.Queue,
 				Tasks: len(u.waiting), WaitingFor: now.Sub(u.readyAt).String(),
 				Permitted: len(u.permits), Denied: len(u.denied), Asking: u.isAsking,
+				Reserved: reserved, Need: neededBy(u.step),
 			})
 		}
 	}
--- a/evaluator/pool.go
+++ b/evaluator/pool.go
@@ -249,7 +249,7 @@
 		out.Runs = append(out.Runs, summarizePool(&s, p.Name, days))
 	}
 	for seed := range seeds {
-		out.Bound += poolBound(&s, poolArrivals(&s, uint64(seed+1))) / float64(seeds)
+		out.Bound += poolBound(&s, newPoolDay(&s, PoolPolicy{}, uint64(seed+1))) / float64(seeds)
 	}
 	return out, nil
 }
--- a/evaluator/poolbound.go
+++ b/evaluator/poolbound.go
@@ -3,31 +3,37 @@
 import (
 	"cmp"
 	"container/heap"
+	"math"
 	"slices"
 	"time"
 
 	"goldcreststack.example/goldcreststack/modeler"
 )
 
-// poolBound returns a share of the day's worth that no policy can exceed. It takes
-// the pool as one worker that knows all run times, divides its work at will and
-// needs no permits, and gives each flow that it can't finish in time what a late
-// one is worth. It does so for each resource by itself; the lowest result counts.
-func poolBound(s *PoolSettings, flows []*poolFlow) float64 {
+// poolBound returns a share of the day's worth that no policy can exceed. A flow
+// gets what it would get alone on the workers that the outside policy allows. Beyond
+// that it takes the pool as one worker that knows all run times and divides its work
+// at will, and gives each flow that it can't finish in time what a late one is
+// worth. It does so for each resource by itself; the lowest result counts.
+func poolBound(s *PoolSettings, day *poolDay) float64 {
 	owed := 0.0
-	for _, f := range flows {
+	var flows []*poolFlow
+	for _, f := range day.flows {
 		owed += f.worth
+		alone := *f
+		if at := day.earliestEnd(f); at > f.lastUse {
+			alone.worth, alone.late = 0, 0
+		} else if at > f.deadline {
+			alone.worth = alone.late
+		}
+		flows = append(flows, &alone)
 	}
 	if owed == 0 {
 		return 1
 	}
 	speed := 0.0
 	for i := range s.Workers.Count {
-		if n := len(s.Workers.Speeds); n > 0 {
-			speed += s.Workers.Speeds[i%n]
-		} else {
-			speed++
-		}
+		speed += s.Workers.speed(i)
 	}
 	best := owed
 	whole := s.Workers.capacity()
@@ -38,17 +44,46 @@
 	} {
 		if capacity := amount(whole) * speed; capacity > 0 {
 			best = min(best, fluidWorth(flows, capacity, func(f *poolFlow) float64 {
-				sum := 0.0
-				for _, w := range f.work {
-					sum += w.Seconds()
-				}
-				return sum * amount(f.Steps[0].Need)
+				return f.totalWork().Seconds() * amount(f.Steps[0].Need)
 			}))
 		}
 	}
 	return best / owed
 }
 
+func (f *poolFlow) totalWork() time.Duration {
+	sum := time.Duration(0)
+	for _, w := range f.work {
+		sum += w
+	}
+	return sum
+}
+
+// earliestEnd returns when a flow can be done if it has the allowed workers to
+// itself: its longest task on the fastest one, and all of its work on all of them.
+func (d *poolDay) earliestEnd(f *poolFlow) time.Duration {
+	fastest, slots := 0.0, 0.0
+	for _, w := range d.workers {
+		if !d.isAllowed(f, w.ID) {
+			continue
+		}
+		fastest = max(fastest, w.speed)
+		n := 0
+		for f.Steps[0].Need.Times(int64(n+1)).Fits(w.Capacity) && n < f.Steps[0].Count {
+			n++
+		}
+		slots += float64(n) * w.speed
+	}
+	if slots == 0 {
+		return math.MaxInt64
+	}
+	at := f.arrival
+	if f.queue.Permits != nil {
+		at += f.queue.Permits.Decision.Std()
+	}
+	return at + max(time.Duration(float64(slices.Max(f.work))/fastest), time.Duration(float64(f.totalWork())/slots))
+}
+
 // fluidJob is an amount of work that may be done between two times.
 type fluidJob struct {
 	arrival, deadline time.Duration
@@ -68,24 +103,23 @@
 	for _, f := range sorted {
 		sum += f.late
 		work := workOf(f)
-		low, high := 0.0, 1.0
-		if work == 0 || fluidFits(append(taken, fluidJob{f.arrival, f.deadline, work}), capacity) {
-			low = 1
-		} else {
-			for range 6 {
-				middle := (low + high) / 2
-				if fluidFits(append(taken, fluidJob{f.arrival, f.deadline, middle * work}), capacity) {
-					low = middle
-				} else {
-					high = middle
-				}
+		fits := func(share float64) bool {
+			return fluidFits(append(taken, fluidJob{f.arrival, f.deadline, share * work}), capacity)
+		}
+		share, above := 0.0, 1.0
+		if fits(1) {
+			share = 1
+		}
+		for range 6 {
+			middle := (share + above) / 2
+			if fits(middle) {
+				share = middle
+			} else {
+				above = middle
 			}
-			taken = append(taken, fluidJob{f.arrival, f.deadline, low * work})
-			sum += high * (f.worth - f.late)
-			continue
 		}
-		taken = append(taken, fluidJob{f.arrival, f.deadline, work})
-		sum += low * (f.worth - f.late)
+		taken = append(taken, fluidJob{f.arrival, f.deadline, share * work})
+		sum += above * (f.worth - f.late)
 	}
 	return sum
 }
--- a/evaluator/poolday.go
+++ b/evaluator/poolday.go
@@ -72,10 +72,28 @@
 }
 
 func newPoolDay(s *PoolSettings, p PoolPolicy, seed uint64) *poolDay {
-	return &poolDay{
+	d := &poolDay{
 		settings: s, policy: p, seed: seed, loop: NewEventLoop(seed), state: sequencer.New(),
 		flows: poolArrivals(s, seed), byID: make(map[modeler.FlowID]*poolFlow), doneAt: make(map[modeler.FlowID]time.Duration),
 	}
+	for i := range s.Workers.Count {
+		d.workers = append(d.workers, &poolWorker{
+			WorkerAnnouncement: modeler.WorkerAnnouncement{
+				ID: modeler.WorkerID(fmt.Sprintf("w%04d", i)), Generation: 1, Address: fmt.Sprintf("w%d:1", i), Service: poolService,
+				Capacity: s.Workers.capacity(),
+			},
+			speed: s.Workers.speed(i), running: make(map[modeler.FlowTask]*poolTask), highest: make(map[modeler.FlowTask]modeler.Attempt),
+		})
+	}
+	return d
+}
+
+// speed returns the speed of a worker relative to the usual one.
+func (w PoolWorkers) speed(i int) float64 {
+	if len(w.Speeds) == 0 {
+		return 1
+	}
+	return w.Speeds[i%len(w.Speeds)]
 }
 
 // now returns the leader's clock, which doesn't start at 0 because 0 means never.
@@ -97,18 +115,7 @@
 
 func (d *poolDay) run() {
 	var announcements []modeler.WorkerAnnouncement
-	for i := range d.settings.Workers.Count {
-		w := &poolWorker{
-			WorkerAnnouncement: modeler.WorkerAnnouncement{
-				ID: modeler.WorkerID(fmt.Sprintf("w%04d", i)), Generation: 1, Address: fmt.Sprintf("w%d:1", i), Service: poolService,
-				Capacity: d.settings.Workers.capacity(),
-			},
-			speed: 1, running: make(map[modeler.FlowTask]*poolTask), highest: make(map[modeler.FlowTask]modeler.Attempt),
-		}
-		if speeds := d.settings.Workers.Speeds; len(speeds) > 0 {
-			w.speed = speeds[i%len(speeds)]
-		}
-		d.workers = append(d.workers, w)
+	for _, w := range d.workers {
 		announcements = append(announcements, w.WorkerAnnouncement)
 	}
 	d.state.UpdateWorkers(announcements, nil)
@@ -216,7 +223,7 @@
 			d.asking--
 			answer := modeler.PermitAnswer{Step: ask.Step}
 			for _, id := range ask.Workers {
-				if d.chance("permit", ask.Step.Flow, id) < d.byID[ask.Step.Flow].queue.Permits.Share {
+				if d.isAllowed(d.byID[ask.Step.Flow], id) {
 					answer.Allowed = append(answer.Allowed, modeler.PermitGrant{Worker: id, Permit: "p"})
 				}
 			}
@@ -225,6 +232,11 @@
 	}
 }
 
+// isAllowed reports whether the outside policy allows a worker to run a flow.
+func (d *poolDay) isAllowed(f *poolFlow, id modeler.WorkerID) bool {
+	return f.queue.Permits == nil || d.chance("permit", f.ID, id) < f.queue.Permits.Share
+}
+
 // deliver carries out an order on its worker.
 func (d *poolDay) deliver(o modeler.Order) {
 	w := d.workers[slices.IndexFunc(d.workers, func(w *poolWorker) bool { return w.ID == o.Worker })]
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -36,10 +36,12 @@
 	// memoryLimitPercent is the percentage of the host's memory bound above which
 	// the runtime collects more often; stacks and unread bytes use the rest.
 	memoryLimitPercent = 70
-	// controlGCPercent is the GOGC value of control processes. A leader allocates
-	// for each order and answer and has more spare memory than processor time, so
-	// it collects less often. The memory limit takes precedence.
-	controlGCPercent = 300
+	// leaderGCPercent is the GOGC value of the leader. It allocates for each order
+	// and answer and has more spare memory than processor time, so it collects less
+	// often than the other processes, which use usualGCPercent. The memory limit
+	// takes precedence.
+	leaderGCPercent = 300
+	usualGCPercent  = 100
 	// drainDelay is how long a stopping entry process still accepts requests.
 	// Two failed probes, one second apart, take it out of rotation.
 	drainDelay = 2500 * time.Millisecond
@@ -117,7 +119,7 @@
 }
 
 func newProcess(node *platform.Node, report *reporter.Reporter) *process {
-	setMemoryLimits(node)
+	setMemoryLimit(node)
 	p := &process{node: node, report: report, client: platform.NewClient(), clock: clocker.New(), startTime: time.Now()}
 	settings := relayer.Settings{
 		Name:  modeler.EntryID(node.Name),
@@ -143,12 +145,17 @@
 	return p
 }
 
-// setMemoryLimits sets the runtime's memory limit and, on a control host, its GC
-// percentage.
-func setMemoryLimits(node *platform.Node) {
-	if node.ControlAddress != "" {
-		debug.SetGCPercent(controlGCPercent)
+// setGCPercent sets the runtime's GC percentage for a leader or another process.
+func setGCPercent(leads bool) {
+	if leads {
+		debug.SetGCPercent(leaderGCPercent)
+		return
 	}
+	debug.SetGCPercent(usualGCPercent)
+}
+
+// setMemoryLimit sets the runtime's memory limit.
+func setMemoryLimit(node *platform.Node) {
 	if node.Memory > 0 {
 		debug.SetMemoryLimit(int64(node.Memory) * memoryLimitPercent / 100)
 	}
@@ -223,6 +230,7 @@
 		Clock:         p.clock.Now,
 		ElectionMin:   electionTimeoutMin,
 		ElectionMax:   electionTimeoutMax,
+		OnLeadership:  setGCPercent,
 		SnapshotEvery: entriesPerSnapshot,
 		SnapshotBytes: node.Disk / snapshotDiskDivisor,
 		Segment:       int64(node.Disk / segmentDiskDivisor),
