Show where the time of flows went

goldcreststack waits reads the logs of control processes and prints for each flow how long it waited for the outside policy, for room for its first and last task, and ran, with its permit requests, reservations and lost attempts.

--- a/cmd/goldcreststack/main.go
+++ b/cmd/goldcreststack/main.go
@@ -41,6 +41,7 @@
 		newProve(),
 		newLoad(),
 		newMeasure(),
+		newWaits(),
 	)
 	root.AddCommand(newClientCommands()...)
 	return root
--- /dev/null
+++ b/operator/waits.go
@@ -0,0 +1,187 @@
+package operator
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"goldcreststack.example/goldcreststack/modeler"
+)
+
+// Waits tells where the time of each flow went, from the lines that leaders have
+// logged about it.
+type Waits struct {
+	Flows []FlowWait `json:"flows"`
+	// Lines counts the lines about flows, and Skipped those that are not JSON.
+	Lines   int `json:"lines"`
+	Skipped int `json:"skipped"`
+}
+
+// FlowWait holds the times of one flow. Each begins where the one before ends; a
+// time that has not ended when the log does is counted up to the flow's last line.
+type FlowWait struct {
+	Request modeler.FlowID    `json:"request"`
+	Queue   modeler.QueueID   `json:"queue"`
+	Arrived time.Time         `json:"arrived"`
+	Tasks   int               `json:"tasks"`
+	State   modeler.FlowState `json:"state"`
+	// Permit is the time until the outside policy's first answer, Room from then to
+	// the first start, Rest to the last start, and Run to the end.
+	Permit modeler.Duration `json:"permit"`
+	Room   modeler.Duration `json:"room"`
+	Rest   modeler.Duration `json:"rest"`
+	Run    modeler.Duration `json:"run"`
+	Total  modeler.Duration `json:"total"`
+	// Requests counts the answers of the outside policy, Reserved the changes of its
+	// reservations, and the others the attempts that didn't end as done.
+	Requests int `json:"requests"`
+	Reserved int `json:"reserved"`
+	Failed   int `json:"failed"`
+	Stopped  int `json:"stopped"`
+	Lost     int `json:"lost"`
+}
+
+// flowTimes holds the moments of a flow from which its times follow.
+type flowTimes struct {
+	FlowWait
+	permit, first, last, end time.Time
+}
+
+// ReadWaits reads the logs of control processes. Text before the first brace of a
+// line is ignored, so that logs with a prefix can be read too.
+func ReadWaits(logs ...io.Reader) (Waits, error) {
+	var out Waits
+	flows := make(map[modeler.FlowID]*flowTimes)
+	for _, log := range logs {
+		lines := bufio.NewScanner(log)
+		lines.Buffer(nil, maxAnswerBytes)
+		for lines.Scan() {
+			at := bytes.IndexByte(lines.Bytes(), '{')
+			if at < 0 {
+				continue
+			}
+			var line struct {
+				Message string
+				Time    time.Time
+				Request modeler.FlowID
+				Queue   modeler.QueueID
+				Tasks   int
+				State   modeler.FlowState
+				End     string
+			}
+			// Lines of other events use some of the names for values of other types.
+			if err := json.Unmarshal(lines.Bytes()[at:], &line); err != nil && line.Message == "" {
+				out.Skipped++
+				continue
+			}
+			if line.Request == "" {
+				continue
+			}
+			f := flows[line.Request]
+			if f == nil {
+				if line.Message != "flow added to the scheduler" {
+					continue
+				}
+				f = &flowTimes{FlowWait: FlowWait{Request: line.Request, Queue: line.Queue, Arrived: line.Time, Tasks: line.Tasks}}
+				flows[line.Request] = f
+			}
+			out.Lines++
+			f.count(line.Message, line.Time, line.End, line.State)
+		}
+		if err := lines.Err(); err != nil {
+			return out, fmt.Errorf("log: %w", err)
+		}
+	}
+	for _, f := range flows {
+		out.Flows = append(out.Flows, f.wait())
+	}
+	slices.SortFunc(out.Flows, func(a, b FlowWait) int {
+		return cmp.Or(cmp.Compare(b.Total, a.Total), cmp.Compare(a.Request, b.Request))
+	})
+	return out, nil
+}
+
+func (f *flowTimes) count(message string, at time.Time, end string, state modeler.FlowState) {
+	f.end = at
+	switch message {
+	case "permit answer received":
+		f.Requests++
+		if f.permit.IsZero() {
+			f.permit = at
+		}
+	case "tasks placed":
+		if f.first.IsZero() {
+			f.first = at
+		}
+		f.last = at
+	case "room reserved":
+		f.Reserved++
+	case "task ended":
+		switch end {
+		case "failed":
+			f.Failed++
+		case "stopped":
+			f.Stopped++
+		default:
+			f.Lost++
+		}
+	case "flow over":
+		f.State = state
+	}
+}
+
+// wait returns the times of the flow.
+func (f *flowTimes) wait() FlowWait {
+	w := f.FlowWait
+	from := w.Arrived
+	for _, part := range []struct {
+		to  time.Time
+		out *modeler.Duration
+	}{{f.permit, &w.Permit}, {f.first, &w.Room}, {f.last, &w.Rest}, {f.end, &w.Run}} {
+		if !part.to.IsZero() && part.to.After(from) {
+			*part.out = modeler.Duration(part.to.Sub(from))
+			from = part.to
+		}
+	}
+	if f.first.IsZero() {
+		w.Room, w.Run = w.Run, 0
+	}
+	w.Total = modeler.Duration(from.Sub(w.Arrived))
+	return w
+}
+
+// Text returns a table of the flows of a queue, the longest first. An empty queue
+// means all, and most bounds the rows.
+func (w Waits) Text(queue string, most int) string {
+	var text strings.Builder
+	t := tabwriter.NewWriter(&text, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "REQUEST\tQUEUE\tTASKS\tPERMIT\tROOM\tREST\tRUN\tTOTAL\tREQUESTS\tRESERVED\tFAILED\tSTOPPED\tLOST\tSTATE")
+	seconds := func(d modeler.Duration) string { return fmt.Sprintf("%.2f", d.Std().Seconds()) }
+	shown, matching := 0, 0
+	for _, f := range w.Flows {
+		if !strings.Contains(string(f.Queue), queue) {
+			continue
+		}
+		matching++
+		if shown == most {
+			continue
+		}
+		shown++
+		state := string(f.State)
+		if state == "" {
+			state = "open"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\n", f.Request, f.Queue, f.Tasks, seconds(f.Permit), seconds(f.Room),
+			seconds(f.Rest), seconds(f.Run), seconds(f.Total), f.Requests, f.Reserved, f.Failed, f.Stopped, f.Lost, state)
+	}
+	_ = t.Flush() // a strings.Builder returns no error
+	fmt.Fprintf(&text, "%d of %d flows, times in seconds\n", shown, matching)
+	return text.String()
+}
