Bound how long room is kept for a step

Cause: a gang that waits for a long task could keep the room on its other workers idle until that ends. Nothing is kept now for more than 30 s, or for a step that would begin only after its caller has given up. The plan is a function of its own.

--- a/dispatcher/reserve.go
+++ b/dispatcher/reserve.go
@@ -15,6 +15,9 @@
 	maxReservations = 32
 	planInterval    = 60 * time.Millisecond
 	maxPlanned      = 64
+	// maxReservationLead bounds how long room is kept before it is used, since other
+	// work could use a part of it.
+	maxReservationLead = 30 * time.Second
 	// keepReservation is how much earlier another worker must have room before a
 	// reservation moves there, so that the worker that is being emptied stays.
 	keepReservation = 500 * time.Millisecond
@@ -54,6 +57,9 @@
 	host *host
 	// tasks counts the tasks of the step that have room there, including this one.
 	tasks int
+	// from is when the room is free if attempts that can be preempted are stopped in
+	// time.
+	from modeler.ClockReading
 	// rank is the time of the opening with the costs of taking it; the openings of
 	// all workers are taken in order of rank.
 	rank modeler.ClockReading
@@ -121,7 +127,7 @@
 
 // reserve plans the room for the waiting tasks of a step, keeps it from less
 // urgent steps, and stops the attempts that can be preempted for it as soon as all
-// others are about to end. A gang gets room for all of its members or none.
+// others are about to end.
 func (d *Dispatcher) reserve(now modeler.ClockReading, u *unit) {
 	if now < u.nextPlanAt {
 		return
@@ -132,71 +138,86 @@
 	if u.timeliness == expired || u.step.Backfill {
 		return
 	}
+	plan := d.planRoom(now, u, earlier)
+	if d.uses(Reserve) {
+		for _, o := range plan {
+			d.addReservation(u, o)
+		}
+		d.logReserved(now, u, earlier)
+	}
+	stopped := 0
+	for _, o := range plan {
+		if o.from <= now.Add(d.settings.MaxStopTime) {
+			stopped += d.preempt(now, u, o)
+		}
+	}
+	if stopped > 0 {
+		d.settings.Log("tasks preempted", "request", u.key.Flow, "occurrence", u.key.Occurrence, "step", u.key.Step,
+			"waiting", len(u.waiting), "stopped", stopped, "waited", now.Sub(u.readyAt).String())
+	}
+}
+
+// planRoom chooses the earliest openings for the waiting tasks of a step, one for
+// each worker with all of its tasks there. A gang gets openings for all of its
+// members or none. An opening that is too far away, or at which the step's caller
+// will have given up, is left out.
+func (d *Dispatcher) planRoom(now modeler.ClockReading, u *unit, earlier []*reservation) []opening {
 	var openings []opening
 	for _, h := range d.permittedHosts(now, u) {
 		openings = append(openings, d.openingsOn(now, u, h, earlier)...)
 	}
 	if u.step.Gang && len(openings) < len(u.waiting) {
-		return
+		return nil
 	}
 	slices.SortFunc(openings, func(a, b opening) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.host.worker.ID, b.host.worker.ID), cmp.Compare(a.tasks, b.tasks))
 	})
-	// Openings of one worker are in order, so its last chosen one counts for all.
-	chosen := make(map[*host]opening)
-	var hosts []*host
+	var plan []opening
 	var last modeler.ClockReading
 	for _, o := range openings[:min(len(openings), len(u.waiting))] {
-		if _, known := chosen[o.host]; !known {
-			hosts = append(hosts, o.host)
+		last = max(last, o.from)
+		// An opening covers those before it on the same worker.
+		at := slices.IndexFunc(plan, func(other opening) bool { return other.host == o.host })
+		if at < 0 {
+			plan = append(plan, o)
+		} else if o.tasks > plan[at].tasks {
+			plan[at] = o
 		}
-		chosen[o.host] = o
-		last = max(last, o.beginsAt(now))
-	}
-	if !sameHosts(earlier, hosts) && d.uses(Reserve) {
-		d.logReserved(now, u, hosts, last)
 	}
-	stopped := 0
-	for _, h := range hosts {
-		o := chosen[h]
-		from := o.beginsAt(now)
-		if u.step.Gang {
-			from = last
-		}
-		if d.uses(Reserve) {
-			d.addReservation(u, o, from)
-		}
-		if from <= now.Add(d.settings.MaxStopTime) {
-			stopped += d.preempt(now, u, o)
+	if u.step.Gang {
+		for i := range plan {
+			plan[i].from = last
 		}
 	}
-	if stopped > 0 {
-		d.settings.Log("tasks preempted", "request", u.key.Flow, "occurrence", u.key.Occurrence, "step", u.key.Step,
-			"waiting", len(u.waiting), "stopped", stopped, "waited", now.Sub(u.readyAt).String())
+	latest := now.Add(maxReservationLead)
+	if d.stamp.Add(maxReservationLead) > u.deadlines.expired {
+		latest = now.Add(time.Duration(u.deadlines.expired-d.stamp) * time.Millisecond)
 	}
+	return slices.DeleteFunc(plan, func(o opening) bool { return o.from > latest })
 }
 
-// sameHosts reports whether reservations are on exactly these workers.
-func sameHosts(reservations []*reservation, hosts []*host) bool {
-	return len(reservations) == len(hosts) && !slices.ContainsFunc(reservations, func(v *reservation) bool {
-		return !slices.Contains(hosts, v.host)
-	})
-}
-
-// logReserved writes one log line when the reservations of a step change.
-func (d *Dispatcher) logReserved(now modeler.ClockReading, u *unit, hosts []*host, last modeler.ClockReading) {
-	workers := make([]modeler.WorkerID, 0, len(hosts))
-	for _, h := range hosts {
-		workers = append(workers, h.worker.ID)
+// logReserved writes one log line if the reservations of a step are on other workers
+// than the earlier ones.
+func (d *Dispatcher) logReserved(now modeler.ClockReading, u *unit, earlier []*reservation) {
+	var workers []modeler.WorkerID
+	changed := len(earlier) != len(u.reservations)
+	within := time.Duration(0)
+	for _, v := range u.reservations {
+		workers = append(workers, v.host.worker.ID)
+		within = max(within, v.from.Sub(now))
+		changed = changed || !slices.ContainsFunc(earlier, func(other *reservation) bool { return other.host == v.host })
+	}
+	if !changed {
+		return
 	}
 	d.settings.Log("room reserved", "request", u.key.Flow, "occurrence", u.key.Occurrence, "step", u.key.Step,
-		"waiting", len(u.waiting), "waited", now.Sub(u.readyAt).String(), "workers", workers, "within", last.Sub(now).String(),
+		"waiting", len(u.waiting), "waited", now.Sub(u.readyAt).String(), "workers", workers, "within", within.String(),
 		"processors", u.step.Need.Processors, "memory", u.step.Need.Memory, "accelerators", u.step.Need.Accelerators)
 }
 
 // addReservation records that the room of an opening is kept for the step.
-func (d *Dispatcher) addReservation(u *unit, o opening, from modeler.ClockReading) {
-	v := &reservation{unit: u, host: o.host, room: neededBy(u.step).Times(int64(o.tasks)), from: from}
+func (d *Dispatcher) addReservation(u *unit, o opening) {
+	v := &reservation{unit: u, host: o.host, room: neededBy(u.step).Times(int64(o.tasks)), from: o.from}
 	for _, e := range o.blockers {
 		v.blockers = append(v.blockers, e.run)
 	}
@@ -211,18 +232,6 @@
 	u.reservations = nil
 }
 
-// beginsAt returns when the room is free if attempts that can be preempted are
-// stopped in time.
-func (o *opening) beginsAt(now modeler.ClockReading) modeler.ClockReading {
-	at := now
-	for _, e := range o.blockers {
-		if !e.preempted {
-			at = max(at, e.at)
-		}
-	}
-	return at
-}
-
 // permittedHosts returns the workers that may run tasks of the step. Permits that
 // have expired count: they are renewed while the step waits.
 func (d *Dispatcher) permittedHosts(now modeler.ClockReading, u *unit) []*host {
@@ -265,7 +274,7 @@
 	releases := d.releasesOn(now, u, h)
 	isReserved := slices.ContainsFunc(earlier, func(v *reservation) bool { return v.host == h })
 	var out []opening
-	at, used, preempted := now, 0, 0
+	at, from, used, preempted := now, now, 0, 0
 	for n := 1; n <= most; n++ {
 		for !fits(need.Times(int64(n)), room) {
 			if used == len(releases) {
@@ -277,13 +286,15 @@
 			at = max(at, e.at)
 			if e.preempted {
 				preempted++
+			} else {
+				from = max(from, e.at)
 			}
 		}
 		rank := at.Add(time.Duration(preempted) * preemptionCost)
 		if isReserved {
 			rank = rank.Add(-keepReservation)
 		}
-		out = append(out, opening{host: h, tasks: n, rank: rank, blockers: releases[:used:used]})
+		out = append(out, opening{host: h, tasks: n, from: from, rank: rank, blockers: releases[:used:used]})
 	}
 	return out
 }
