--- a/operator/waits.go
+++ b/operator/waits.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -157,12 +158,14 @@
 	return w
 }
 
-// Text returns a table of the flows of a queue, the longest first. An empty queue
-// means all, and most bounds the rows.
+// Text returns a table with the mean times of each queue and one of the flows, the
+// longest first. Only queues whose name contains the text queue are shown, and most
+// bounds the flows.
 func (w Waits) Text(queue string, most int) string {
 	var text strings.Builder
 	t := tabwriter.NewWriter(&text, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(t, "REQUEST\tQUEUE\tTASKS\tPERMIT\tROOM\tREST\tRUN\tTOTAL\tREQUESTS\tRESERVED\tFAILED\tSTOPPED\tLOST\tSTATE")
+	w.writeMeans(t, queue)
+	fmt.Fprintln(t, "\nREQUEST\tQUEUE\tTASKS\tPERMIT\tROOM\tREST\tRUN\tTOTAL\tREQUESTS\tRESERVED\tFAILED\tSTOPPED\tLOST\tSTATE")
 	seconds := func(d modeler.Duration) string { return fmt.Sprintf("%.2f", d.Std().Seconds()) }
 	shown, matching := 0, 0
 	for _, f := range w.Flows {
@@ -185,3 +188,30 @@
 	fmt.Fprintf(&text, "%d of %d flows, times in seconds\n", shown, matching)
 	return text.String()
 }
+
+// writeMeans writes the mean times and counts of each queue's flows.
+func (w Waits) writeMeans(t io.Writer, queue string) {
+	groups := make(map[modeler.QueueID][]FlowWait)
+	for _, f := range w.Flows {
+		if strings.Contains(string(f.Queue), queue) {
+			groups[f.Queue] = append(groups[f.Queue], f)
+		}
+	}
+	fmt.Fprintln(t, "QUEUE\tFLOWS\tPERMIT\tROOM\tREST\tRUN\tTOTAL\tREQUESTS\tFAILED\tSTOPPED\tLOST")
+	for _, id := range slices.Sorted(maps.Keys(groups)) {
+		flows := groups[id]
+		mean := func(of func(FlowWait) float64) float64 {
+			sum := 0.0
+			for _, f := range flows {
+				sum += of(f)
+			}
+			return sum / float64(len(flows))
+		}
+		fmt.Fprintf(t, "%s\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.1f\t%.2f\t%.2f\t%.2f\n", id, len(flows),
+			mean(func(f FlowWait) float64 { return f.Permit.Std().Seconds() }), mean(func(f FlowWait) float64 { return f.Room.Std().Seconds() }),
+			mean(func(f FlowWait) float64 { return f.Rest.Std().Seconds() }), mean(func(f FlowWait) float64 { return f.Run.Std().Seconds() }),
+			mean(func(f FlowWait) float64 { return f.Total.Std().Seconds() }), mean(func(f FlowWait) float64 { return float64(f.Requests) }),
+			mean(func(f FlowWait) float64 { return float64(f.Failed) }), mean(func(f FlowWait) float64 { return float64(f.Stopped) }),
+			mean(func(f FlowWait) float64 { return float64(f.Lost) }))
+	}
+}
--- a/operator/waits_test.go
+++ b/operator/waits_test.go
@@ -42,5 +42,6 @@
 	assert.Equal(t, b.Room.Std(), 2*time.Second)
 	assert.Equal(t, b.Run.Std(), time.Duration(0))
 	text := w.Text("two", 5)
+	assert.Assert(t, strings.Contains(text, "1.00    2.00  0.00  0.00  3.00   2.0"), text)
 	assert.Assert(t, strings.Contains(text, "open") && !strings.Contains(text, "aa "), text)
 }
