--- a/dispatcher/preempt.go
+++ b/dispatcher/preempt.go
@@ -37,6 +37,32 @@
 	return u.policy.Permits == nil || known && p.expiresAt > now && p.generation == h.worker.Generation
 }
 
+// preemptionEnd returns when the room of an attempt is free if it is preempted for
+// the step as soon as its work is saved.
+func (d *Dispatcher) preemptionEnd(now modeler.ClockReading, u *unit, r *run) modeler.ClockReading {
+	end := now.Add(d.settings.MaxStopTime + freedRoomDelay)
+	if !d.isPreemptable(now, u, r) {
+		end = end.Add(maxUnsaved)
+	}
+	return end
+}
+
+// preempt stops the attempts that an opening has to preempt, and returns how many it
+// has stopped; attempts with much unsaved work go on until their next checkpoint. It
+// serves bursts of short urgent work, and tasks that need most of a worker, on a cell
+// full of less urgent ones: those have time to continue elsewhere, while urgent work
+// that waits for one of them to end is late.
+func (d *Dispatcher) preempt(now modeler.ClockReading, u *unit, o opening) int {
+	stopped := 0
+	for _, e := range o.blockers {
+		if e.preempted && d.isPreemptable(now, u, e.run) {
+			d.stopRun(now, e.run, "a more urgent step needs its room")
+			stopped++
+		}
+	}
+	return stopped
+}
+
 // isPreemptable reports whether an attempt can be preempted for the step now.
 func (d *Dispatcher) isPreemptable(now modeler.ClockReading, u *unit, r *run) bool {
 	if r.phase != running || r.orphaned || r.abandoned {
--- a/dispatcher/reserve.go
+++ b/dispatcher/reserve.go
@@ -325,26 +325,3 @@
 	})
 	return out
 }
-
-// preemptionEnd returns when the room of an attempt is free if it is preempted for
-// the step as soon as its work is saved.
-func (d *Dispatcher) preemptionEnd(now modeler.ClockReading, u *unit, r *run) modeler.ClockReading {
-	end := now.Add(d.settings.MaxStopTime + freedRoomDelay)
-	if !d.isPreemptable(now, u, r) {
-		end = end.Add(maxUnsaved)
-	}
-	return end
-}
-
-// preempt stops the attempts that an opening has to preempt. It returns how many it
-// has stopped; attempts with much unsaved work go on until their next checkpoint.
-func (d *Dispatcher) preempt(now modeler.ClockReading, u *unit, o opening) int {
-	stopped := 0
-	for _, e := range o.blockers {
-		if e.preempted && d.isPreemptable(now, u, e.run) {
-			d.stopRun(now, e.run, "a more urgent step needs its room")
-			stopped++
-		}
-	}
-	return stopped
-}
--- a/dispatcher/runtime.go
+++ b/dispatcher/runtime.go
@@ -24,7 +24,9 @@
 
 // runtimes predicts the run times of a queue's tasks from the estimates of callers
 // and the run times of earlier tasks. It is a linear regression between the
-// logarithms: where estimates say little, the usual run time of the queue counts.
+// logarithms: where estimates say little, the usual run time of the queue counts. It
+// serves queues whose callers can't tell how long their tasks run: deadlines that
+// rest on a wrong estimate give up flows whose callers still wait.
 type runtimes struct {
 	// samples is the weight of all samples. The other fields are weighted means:
 	// of the logarithms of estimates and run times, and of their products around
@@ -34,7 +36,7 @@
 	runtime    float64
 	variance   float64
 	covariance float64
-	// squares is the mean square of the prediction's error, and bias its mean.
+	// squares is the mean square of the prediction's error.
 	squares float64
 }
 
--- a/evaluator/poolday.go
+++ b/evaluator/poolday.go
@@ -63,7 +63,6 @@
 type poolTask struct {
 	flow    *poolFlow
 	attempt modeler.Attempt
-	began   time.Duration
 	// resumed is the work that was done before, and starts is when work begins.
 	resumed time.Duration
 	starts  time.Duration
@@ -322,7 +321,7 @@
 		return modeler.OrderSuperseded
 	}
 	w.highest[o.Task] = o.Attempt
-	t := &poolTask{flow: d.byID[o.Task.Flow], attempt: o.Attempt, began: d.loop.Now, starts: d.loop.Now}
+	t := &poolTask{flow: d.byID[o.Task.Flow], attempt: o.Attempt, starts: d.loop.Now}
 	if o.Saved != "" {
 		saved, err := time.ParseDuration(string(o.Saved))
 		if err == nil {
