--- a/dispatcher/reserve_test.go
+++ b/dispatcher/reserve_test.go
@@ -105,3 +105,25 @@
 	// The small flows need 30 s of the cell, and 120 arrivals take 30 s.
 	assert.Check(t, r.finishedAt[last].Sub(begun) < 12*time.Second, "the small flows were done %v after the last arrival", r.finishedAt[last].Sub(begun))
 }
+
+// Guards against a waiting step whose permits run out: a slow outside policy would
+// answer only after other steps have taken the room. The step must start as soon as
+// the task on its worker ends, also if that is long after its first permit.
+func TestWaitingStepHoldsPermits(t *testing.T) {
+	// A permit is valid for 1.7 s here, so one of the moments would fall into a gap.
+	for runtime := 4 * time.Second; runtime < 6*time.Second; runtime += 300 * time.Millisecond {
+		r := newRig(t, 7)
+		r.addWorkers(1, 16)
+		r.run(2 * time.Second)
+		r.submit(flow("first", step(1, 16, runtime)))
+		r.run(300 * time.Millisecond)
+		f := flow("second", step(1, 16, time.Second))
+		f.Policy.Permits = &modeler.PermitPolicy{Decision: 430 * time.Millisecond, Worker: 6 * time.Millisecond, Validity: 2 * time.Second}
+		r.submit(f)
+		r.run(15 * time.Second)
+		assert.Equal(t, r.flowState("second"), modeler.FlowCompleted)
+		waited := r.flowStart["second"].Sub(r.finishedAt["first"])
+		// An end takes a commit, and a start another one; the policy takes 436 ms.
+		assert.Check(t, waited < 200*time.Millisecond, "the step started %v after its worker had room, %v after the start", waited, runtime)
+	}
+}
