--- a/controller/snapshot_test.go
+++ b/controller/snapshot_test.go
@@ -128,3 +128,13 @@
 	}
 	return false
 }
+
+// Guards against a process that isn't told that it leads, and so keeps the memory
+// settings of one that doesn't.
+func TestLeadershipIsReported(t *testing.T) {
+	changes := make(chan bool, 4)
+	m := startMember(t, controller.Settings{OnLeadership: func(leads bool) { changes <- leads }})
+	m.propose(1, 10)
+	assert.Equal(t, len(changes), 1)
+	assert.Assert(t, <-changes, "a process that accepts tickets leads")
+}
