--- a/dispatcher/preempt.go
+++ b/dispatcher/preempt.go
@@ -89,15 +89,12 @@
 	return d.stamp.Add(rest) <= deadline && d.stamp.Add(rest+resumeDelay) > deadline
 }
 
-// isPreemptableKind reports whether an attempt is less urgent than the step, not
-// rather in time than it, and can resume elsewhere from a checkpoint.
+// isPreemptableKind reports whether an attempt is less urgent than the step and
+// can resume elsewhere from a checkpoint.
 func isPreemptableKind(u *unit, r *run) bool {
 	if r.unit == nil || r.unit.policy.Priority <= u.policy.Priority {
 		return false
 	}
-	if u.timeliness > r.unit.timeliness {
-		return false
-	}
 	step := r.unit.step
 	return step.Checkpoints && !step.Gang && !step.LongRunning && !step.Backfill
 }
--- a/dispatcher/prospect.go
+++ b/dispatcher/prospect.go
@@ -57,7 +57,8 @@
 	}
 }
 
-// updateTimeliness moves waiting steps behind others that can still be in time. This matters after a burst or an outage of the control
+// updateTimeliness moves waiting steps behind others of the same priority that
+// can still be in time. This matters after a burst or an outage of the control
 // processes: if units were ordered by latest start alone, steps that are
 // already late would go first and make all others late too.
 func (d *Dispatcher) updateTimeliness() {
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -146,13 +146,12 @@
 	return rest
 }
 
-// compareUnits orders units by timeliness, then by priority, then by latest start. In
-// a cell that can't serve all, urgent steps that are late already would otherwise
-// make all less urgent ones late too.
+// compareUnits orders units by priority, then by timeliness, then by latest
+// start.
 func compareUnits(a, b *unit) int {
 	return cmp.Or(
-		cmp.Compare(a.timeliness, b.timeliness),
 		cmp.Compare(a.policy.Priority, b.policy.Priority),
+		cmp.Compare(a.timeliness, b.timeliness),
 		cmp.Compare(a.latestStart, b.latestStart),
 		cmp.Compare(a.key.Flow, b.key.Flow),
 		cmp.Compare(a.key.Occurrence, b.key.Occurrence),
