--- a/cmd/goldcreststack/measure.go
+++ b/cmd/goldcreststack/measure.go
@@ -52,7 +52,7 @@
 }
 
 func newMeasurePool() *cobra.Command {
-	file, seeds := "samples/pool/accelerators.json", 20
+	file, seeds := "samples/pool.json", 20
 	cmd := &cobra.Command{
 		Use:   "pool",
 		Short: "Run random days of one pool with and without each scheduling decision",
--- a/evaluator/pool_test.go
+++ b/evaluator/pool_test.go
@@ -15,7 +15,7 @@
 // Guards against decisions that stop serving callers of a crowded pool better, and
 // against a bound that a policy exceeds.
 func TestPoolDecisionsServeCallers(t *testing.T) {
-	s, err := evaluator.ReadPool("../samples/pool/accelerators.json")
+	s, err := evaluator.ReadPool("../samples/pool.json")
 	assert.NilError(t, err)
 	policies := []evaluator.PoolPolicy{{Name: "all"}}
 	for _, x := range []dispatcher.Decision{dispatcher.HoldPermits, dispatcher.Reserve, dispatcher.Preempt} {
@@ -34,7 +34,7 @@
 
 // Guards against unclear errors for a malformed file.
 func TestReadPoolErrors(t *testing.T) {
-	good, err := os.ReadFile("../samples/pool/accelerators.json")
+	good, err := os.ReadFile("../samples/pool.json")
 	assert.NilError(t, err)
 	for _, c := range []struct{ from, to, want string }{
 		{`"commit": "10ms",`, `"commit": 10,`, ":5:"},
