Move the decisions about voters into a package of their own

controller/joining.go decided inside the event loop of the core who is admitted, promoted and removed, so no test could play these decisions against a history of lost hosts. reconfigurer has the same rules without state, I/O or a clock. Two log lines move: "member added" and "member removed" are written once the replicator has accepted the change, no longer before.

No change of behaviour is meant.

--- a/controller/joining.go
+++ b/controller/joining.go
@@ -1,12 +1,11 @@
 package controller
 
 import (
-	"slices"
 	"time"
 
 	"goldcreststack.example/goldcreststack/classifier"
 	"goldcreststack.example/goldcreststack/modeler"
-	"goldcreststack.example/goldcreststack/replicator"
+	"goldcreststack.example/goldcreststack/reconfigurer"
 )
 
 // replaceAfter is how long a voter must have been silent before it is removed
@@ -14,72 +13,42 @@
 // a host.
 const replaceAfter = 15 * time.Second
 
-// admitMember adds a member at its own request. A member with another id at the
-// same address has lost its disk and is removed first.
+var changeEvents = map[reconfigurer.Kind]string{
+	reconfigurer.Add: "member added", reconfigurer.Promote: "member votes", reconfigurer.Remove: "member removed",
+}
+
+func (c *core) membershipPolicy() reconfigurer.Policy {
+	return reconfigurer.Policy{ReplaceAfter: replaceAfter}
+}
+
+// admitMember adds a member at its own request.
 func (c *core) admitMember(now modeler.ClockReading, m modeler.Member) modeler.Reply {
-	members := c.log.Status().Members.Members
-	next := slices.Clone(members)
-	switch at := slices.IndexFunc(members, func(held modeler.Member) bool { return held.Address == m.Address }); {
-	case at >= 0 && members[at].ID == m.ID:
+	change, needed := c.membershipPolicy().Admit(c.log.Status().Members, m)
+	if !needed {
 		return modeler.Reply{}
-	case at >= 0:
-		next = slices.Delete(next, at, at+1)
-		c.controller.settings.Report.Info("member removed", "member", members[at].ID, "address", m.Address, "reason", "its host came back without its disk")
-	default:
-		next = append(next, modeler.Member{ID: m.ID, Address: m.Address, Learner: true})
-		c.controller.settings.Report.Info("member added", "member", m.ID, "address", m.Address)
 	}
-	if err := c.log.ChangeMembers(now, modeler.Membership{Members: next}); err != nil {
+	if err := c.proposeMembership(now, change); err != nil {
 		return errorReply(err)
 	}
 	return errorReply(classifier.New(classifier.Unconfirmed, "the member is being added"))
 }
 
-// updateVoters promotes learners to voters, one at a time, and removes a voter
-// that has been silent for replaceAfter first. The replicator refuses learners
-// that have not caught up.
+// updateVoters proposes the next change of the voters. If it is refused, the
+// next tick tries again.
 func (c *core) updateVoters(now modeler.ClockReading) {
 	if c.controller.settings.Flows == nil {
 		return
 	}
-	status := c.log.Status()
-	for _, p := range status.Progress {
-		if !p.Member.Learner || !p.Answered {
-			continue
-		}
-		if silent := silentVoter(now, status.Progress); silent != 0 {
-			c.proposeMembership(now, status.Members, "member removed", silent, func(m modeler.Member) (modeler.Member, bool) { return m, m.ID != silent })
-			return
-		}
-		id := p.Member.ID
-		c.proposeMembership(now, status.Members, "member votes", id, func(m modeler.Member) (modeler.Member, bool) {
-			m.Learner = m.Learner && m.ID != id
-			return m, true
-		})
-		return
+	if change, due := c.membershipPolicy().Next(now, c.log.Status()); due {
+		_ = c.proposeMembership(now, change)
 	}
 }
 
-// silentVoter returns a voter that has not answered for replaceAfter, or 0.
-func silentVoter(now modeler.ClockReading, progress []replicator.Progress) modeler.MemberID {
-	for _, p := range progress {
-		if !p.Member.Learner && p.Answered && now.Sub(p.LastContact) > replaceAfter {
-			return p.Member.ID
-		}
-	}
-	return 0
-}
-
-// proposeMembership proposes the members that keep returns. If that is refused,
-// the next tick tries again.
-func (c *core) proposeMembership(now modeler.ClockReading, from modeler.Membership, event string, id modeler.MemberID, keep func(modeler.Member) (modeler.Member, bool)) {
-	var next modeler.Membership
-	for _, m := range from.Members {
-		if kept, ok := keep(m); ok {
-			next.Members = append(next.Members, kept)
-		}
-	}
-	if err := c.log.ChangeMembers(now, next); err == nil {
-		c.controller.settings.Report.Info(event, "member", id, "members", len(next.Members))
+// proposeMembership proposes a change of the membership.
+func (c *core) proposeMembership(now modeler.ClockReading, change reconfigurer.Change) error {
+	if err := c.log.ChangeMembers(now, change.Members); err != nil {
+		return err
 	}
+	c.controller.settings.Report.Info(changeEvents[change.Kind], "member", change.Member, "reason", change.Reason, "members", len(change.Members.Members))
+	return nil
 }
