--- a/replicator/cluster_test.go
+++ b/replicator/cluster_test.go
@@ -33,6 +33,7 @@
 // a running digest of the committed entries.
 type host struct {
 	id         modeler.MemberID
+	address    string
 	r          *replicator.Replicator
 	disk       replicator.Saved
 	membership modeler.Membership
@@ -91,6 +92,9 @@
 	// linkFreeAt is when a link has sent all messages queued on it.
 	bandwidth  float64
 	linkFreeAt map[link]time.Duration
+	// electionMin and electionMax are the members' election timeouts; 0 means the
+	// defaults.
+	electionMin, electionMax time.Duration
 	// shortestTimeouts lets all members choose the shortest election timeout.
 	shortestTimeouts bool
 	// ticksWhenDue calls Tick only at the time that Due returns, instead of in
@@ -111,6 +115,15 @@
 }
 
 func newCluster(t *testing.T, seed uint64, size int, drift float64) *cluster {
+	var members modeler.Membership
+	for id := range size {
+		members.Members = append(members.Members, modeler.Member{ID: modeler.MemberID(id + 1)})
+	}
+	return newClusterOf(t, seed, members, drift)
+}
+
+// newClusterOf starts a cluster of the given members, whose ids count from 1.
+func newClusterOf(t *testing.T, seed uint64, members modeler.Membership, drift float64) *cluster {
 	c := &cluster{
 		t:              t,
 		rng:            rand.New(rand.NewPCG(seed, 1)),
@@ -125,11 +138,7 @@
 		toldToStand:    map[memberTerm]bool{},
 		counts:         map[string]int{},
 	}
-	var members modeler.Membership
-	for id := range size {
-		members.Members = append(members.Members, modeler.Member{ID: modeler.MemberID(id + 1)})
-	}
-	for range size {
+	for range members.Members {
 		snapshot := modeler.Snapshot{Index: initialIndex, Term: 1, Membership: members, Data: encodeDigest(0)}
 		c.addHost(replicator.Saved{Snapshot: snapshot})
 	}
@@ -175,7 +184,7 @@
 		}
 		return c.rng.Int64N(n)
 	}
-	cfg := replicator.Config{Self: h.id, MaxBatch: 8, TailEntries: 16, TailBytes: c.tailBytes, PieceBytes: c.pieceSize, Random: random}
+	cfg := replicator.Config{Self: h.id, MaxBatch: 8, TailEntries: 16, TailBytes: c.tailBytes, PieceBytes: c.pieceSize, Random: random, ElectionMin: c.electionMin, ElectionMax: c.electionMax}
 	h.r = replicator.New(cfg, saved, c.reading(h))
 	h.membership = h.r.Status().Members
 }
