Test that a new host answers a leader outside its seeds

A host that joins an established group links to its seeds only. If the leader isn't among them, the leader links to the new host and sends the log, but the answers are dropped.

--- /dev/null
+++ b/controller/replaced_test.go
@@ -0,0 +1,98 @@
+package controller_test
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"goldcreststack.example/goldcreststack/follower"
+	"goldcreststack.example/goldcreststack/modeler"
+)
+
+// group is a replicated group of three members in the test process.
+type group struct {
+	t       *testing.T
+	members []modeler.Member
+	stops   []func()
+	client  *follower.Client
+}
+
+// startGroup starts the members and waits until one of them leads.
+func startGroup(t *testing.T) *group {
+	g := &group{t: t, client: follower.New(modeler.Hello{Entry: "test"}, follower.Hooks{})}
+	for id := range modeler.MemberID(3) {
+		free := listen(t, "127.0.0.1:0")
+		g.members = append(g.members, modeler.Member{ID: id + 1, Address: free.Addr().String()})
+		assert.NilError(t, free.Close())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	for _, m := range g.members {
+		g.stops = append(g.stops, startPeer(t, m.ID, listen(t, m.Address), g.members, false, nil))
+		g.client.KeepLinks(ctx, []string{m.Address})
+	}
+	g.awaitLeader()
+	return g
+}
+
+// awaitLeader waits until a member leads, and returns the places of the leader and
+// of the others in members.
+func (g *group) awaitLeader() (leader, second, third int) {
+	g.t.Helper()
+	for end := time.Now().Add(recovery); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if id := g.status().Leader; id != 0 {
+			return int(id) - 1, int(id) % 3, int(id+1) % 3
+		}
+	}
+	g.t.Fatal("no leader")
+	return 0, 0, 0
+}
+
+func (g *group) ask(m *modeler.Message) *modeler.Message {
+	ctx, cancel := context.WithTimeout(g.t.Context(), time.Second)
+	defer cancel()
+	if answer, err := g.client.Do(ctx, m); err == nil {
+		return answer
+	}
+	return &modeler.Message{}
+}
+
+// status returns the leader's status, which is empty without a leader.
+func (g *group) status() (status modeler.Status) {
+	m := g.ask(&modeler.Message{Kind: modeler.QueryMessage, Query: &modeler.Query{Kind: modeler.StatusQuery}})
+	if m.QueryAnswer != nil && len(m.QueryAnswer.Document) > 0 {
+		assert.NilError(g.t, json.Unmarshal(m.QueryAnswer.Document, &status))
+	}
+	return status
+}
+
+func (g *group) isVoter(id modeler.MemberID) bool {
+	return slices.ContainsFunc(g.status().Members, func(m modeler.MemberStatus) bool { return m.ID == id && !m.Learner })
+}
+
+// join starts a new member that knows the seeds, and returns whether it votes
+// within catchUp.
+func (g *group) join(id modeler.MemberID, seeds ...modeler.Member) bool {
+	l := listen(g.t, "127.0.0.1:0")
+	fresh := modeler.Member{ID: id, Address: l.Addr().String()}
+	startPeer(g.t, id, l, seeds, true, nil)
+	for end := time.Now().Add(catchUp); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		g.ask(&modeler.Message{Kind: modeler.CallMessage, Call: &modeler.Call{Kind: modeler.JoinCall, Member: &fresh}})
+		if g.isVoter(id) {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a new host that can't answer a leader that isn't among its seeds, so that it never gets the log.
+func TestLeaderOutsideTheSeedsIsAnswered(t *testing.T) {
+	g := startGroup(t)
+	_, seed, departed := g.awaitLeader()
+	g.stops[departed]()
+	assert.Assert(t, g.join(33, g.members[seed], g.members[departed]), "no voter within %s: %+v", catchUp, g.status().Members)
+}
