Test that a new host answers members whose ids it doesn't know

A host derives the ids of its seeds from their addresses, which holds for the first members only. A replaced host has a random id. If the leader is one, a new host drops its answers to it even if the leader is among its seeds, and never gets the log. After as many replacements as there are seeds, no host can join.

--- a/controller/replaced_test.go
+++ b/controller/replaced_test.go
@@ -96,3 +96,15 @@
 	g.stops[departed]()
 	assert.Assert(t, g.join(33, g.members[seed], g.members[departed]), "no voter within %s: %+v", catchUp, g.status().Members)
 }
+
+// Guards against a new host that can't answer the members at its seeds, because it takes them to have other ids.
+func TestSeedsWithOtherIDsAreAnswered(t *testing.T) {
+	g := startGroup(t)
+	_, _, departed := g.awaitLeader()
+	g.stops[departed]()
+	seeds := slices.Clone(g.members)
+	for i := range seeds {
+		seeds[i].ID += 100
+	}
+	assert.Assert(t, g.join(33, seeds...), "no voter within %s: %+v", catchUp, g.status().Members)
+}
