Test that a voter gone before the election is replaced

silentVoter counts only voters that have answered the present leader. A voter that departed before the election is never removed by it, so it counts towards the quorum for good, and one such voter stays for each change of the leader after a loss.

In the test a voter departs, the leadership is transferred, and a successor comes 16 s after the departure.

--- a/controller/replaced_test.go
+++ b/controller/replaced_test.go
@@ -108,3 +108,21 @@
 	}
 	assert.Assert(t, g.join(33, seeds...), "no voter within %s: %+v", catchUp, g.status().Members)
 }
+
+// Guards against a voter that counts for good, because it departed before the leader was elected.
+func TestVoterGoneBeforeElectionIsReplaced(t *testing.T) {
+	g := startGroup(t)
+	_, next, departed := g.awaitLeader()
+	g.stops[departed]()
+	gone := time.Now()
+	transfer := &modeler.Query{Kind: modeler.TransferToMember, Member: g.members[next]}
+	for end := time.Now().Add(recovery); g.status().Leader != g.members[next].ID; time.Sleep(50 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "the leadership isn't transferred")
+		g.ask(&modeler.Message{Kind: modeler.QueryMessage, Query: transfer})
+	}
+	time.Sleep(time.Until(gone.Add(16 * time.Second)))
+	began := time.Now()
+	assert.Assert(t, g.join(33, g.members...), "no voter within %s", catchUp)
+	time.Sleep(time.Until(began.Add(catchUp)))
+	assert.Assert(t, !g.isVoter(g.members[departed].ID), "voters %s after the departure: %+v", time.Since(gone).Round(time.Second), g.status().Members)
+}
