A new member answers over the link that the leader has opened

Seen by operators: a replaced control host is admitted as a learner and then never votes; the group has one voter fewer for each such host.

Cause: a member sends to the members of its log, and before it has received one to its seeds, under the ids that first members have. The leader of a group whose hosts have been replaced is neither among the seeds nor has such an id. The new member dropped its answers to that leader, so the leader went on probing it for good.

Now links between members carry messages both ways: without a link of its own to a member, a process sends over the one that the member has opened. The answer needs no address, since whoever asks has a link.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -125,7 +125,7 @@
 	}
 	c.orders = newOrderSender(c.post)
 	c.counts = newCounts(settings.Report)
-	c.peers = newPeerLinks(settings.Member, settings.First.Members, settings.Report)
+	c.peers = newPeerLinks(settings.Member, settings.First.Members, settings.Report, c.servePeer)
 	c.core, err = newCore(c, saved)
 	if err != nil {
 		_ = store.Close()
--- a/controller/links.go
+++ b/controller/links.go
@@ -21,18 +21,27 @@
 	defer l.Close()
 	if l.Peer.Member != 0 {
 		c.peers.redial(l.Peer.Member)
+		c.peers.addAccepted(l)
 		c.servePeer(ctx, l)
+		c.peers.removeAccepted(l)
 		return
 	}
 	c.serveEntry(ctx, l)
 }
 
+// servePeer takes the messages of another member until the link closes or ctx
+// ends.
 func (c *Controller) servePeer(ctx context.Context, l *linker.Link) {
-	for m := range l.Receive() {
-		if m.Kind != modeler.PeerMessageKind || m.Peer == nil {
-			continue
-		}
-		if !c.post(ctx, peerMessage{message: *m.Peer}) {
+	for {
+		select {
+		case m, open := <-l.Receive():
+			if !open {
+				return
+			}
+			if m.Kind == modeler.PeerMessageKind && m.Peer != nil && !c.post(ctx, peerMessage{message: *m.Peer}) {
+				return
+			}
+		case <-ctx.Done():
 			return
 		}
 	}
@@ -56,23 +65,29 @@
 	report  *reporter.Reporter
 	seeds   []modeler.Member
 	changed chan struct{}
+	// serve takes the messages that come over an outgoing link.
+	serve func(ctx context.Context, l *linker.Link)
 
 	mu      sync.Mutex
 	members []modeler.Member
 	links   map[string]*linker.Link
+	// accepted has the newest link that each member has opened to this one.
+	accepted map[modeler.MemberID]*linker.Link
 	// redials has a channel for each address that ends the wait before its next
 	// dial.
 	redials map[string]chan struct{}
 }
 
-func newPeerLinks(self modeler.MemberID, seeds []modeler.Member, report *reporter.Reporter) *peerLinks {
+func newPeerLinks(self modeler.MemberID, seeds []modeler.Member, report *reporter.Reporter, serve func(context.Context, *linker.Link)) *peerLinks {
 	return &peerLinks{
-		self:    self,
-		report:  report,
-		seeds:   seeds,
-		changed: make(chan struct{}, 1),
-		links:   make(map[string]*linker.Link),
-		redials: make(map[string]chan struct{}),
+		self:     self,
+		report:   report,
+		seeds:    seeds,
+		changed:  make(chan struct{}, 1),
+		serve:    serve,
+		links:    make(map[string]*linker.Link),
+		accepted: make(map[modeler.MemberID]*linker.Link),
+		redials:  make(map[string]chan struct{}),
 	}
 }
 
@@ -120,14 +135,30 @@
 	return out
 }
 
-// send sends a message to the member that it names; the message is dropped if
-// there is no link.
+// addAccepted offers a link that another member has opened for sending.
+func (p *peerLinks) addAccepted(l *linker.Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.accepted[l.Peer.Member] = l
+}
+
+func (p *peerLinks) removeAccepted(l *linker.Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.accepted[l.Peer.Member] == l {
+		delete(p.accepted, l.Peer.Member)
+	}
+}
+
+// send sends a message to the member that it names, over the link that the
+// member has opened if there is no outgoing one: a new member doesn't know the
+// leader's address yet. The message is dropped if there is no link.
 func (p *peerLinks) send(m *modeler.PeerMessage) {
 	p.mu.Lock()
-	var l *linker.Link
+	l := p.accepted[m.To]
 	for _, member := range p.otherMembers() {
-		if member.ID == m.To {
-			l = p.links[member.Address]
+		if outgoing := p.links[member.Address]; member.ID == m.To && outgoing != nil {
+			l = outgoing
 		}
 	}
 	p.mu.Unlock()
@@ -196,7 +227,7 @@
 	keeper.Run(ctx)
 }
 
-// useLink offers the link for sending until it closes.
+// useLink offers the link for sending, and serves it until it closes.
 func (p *peerLinks) useLink(ctx context.Context, address string, l *linker.Link) {
 	p.mu.Lock()
 	p.links[address] = l
@@ -210,14 +241,5 @@
 		}
 		p.mu.Unlock()
 	}()
-	for {
-		select {
-		case _, open := <-l.Receive():
-			if !open {
-				return
-			}
-		case <-ctx.Done():
-			return
-		}
-	}
+	p.serve(ctx, l)
 }
