--- a/hoster/hoster_test.go
+++ b/hoster/hoster_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -84,9 +85,8 @@
 	return l.Addr().(*net.TCPAddr).Port
 }
 
-// startProcess runs an entry or control process. The returned function stops it
-// and waits for its end; it also runs at the end of the test.
-func startProcess(t *testing.T, n imitator.Node) (*logBuffer, func()) {
+// loadNode writes a settings file and returns the settings read from it.
+func loadNode(t *testing.T, n imitator.Node) *platform.Node {
 	n.MaxLease, n.MaxStopTime = 6*time.Second, 400*time.Millisecond
 	data, err := n.Encode()
 	assert.NilError(t, err)
@@ -95,6 +95,13 @@
 	t.Setenv(imitator.NodeVariable, file)
 	node, err := platform.LoadNode()
 	assert.NilError(t, err)
+	return node
+}
+
+// startProcess runs an entry or control process. The returned function stops it
+// and waits for its end; it also runs at the end of the test.
+func startProcess(t *testing.T, n imitator.Node) (*logBuffer, func()) {
+	node := loadNode(t, n)
 	out := &logBuffer{}
 	role := "control"
 	if n.Entry {
@@ -223,6 +230,29 @@
 	assert.Assert(t, time.Since(stopTime) < killDelay, "ended after %s", time.Since(stopTime))
 }
 
+// Guards against a control process that goes on without its member of the group
+// after that has failed. The group has a member less for good then, since the
+// platform restarts only processes that have ended.
+func TestProcessEndsWithItsMember(t *testing.T) {
+	port := freePort(t)
+	taken, err := net.Listen("tcp", imitator.PortAddress(ip(6), port, 0))
+	assert.NilError(t, err)
+	defer taken.Close()
+	node := loadNode(t, imitator.Node{Name: "c1", IP: ip(6), Port: port, Seeds: []string{imitator.PortAddress(ip(6), port, 1)}, Bootstrap: true, DataFolder: filepath.Join(t.TempDir(), "data")})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() {
+		ended <- hoster.RunControl(ctx, node, reporter.New(reporter.Options{Role: "control", Name: "c1", Out: io.Discard}), "")
+	}()
+	select {
+	case err := <-ended:
+		assert.ErrorContains(t, err, "address already in use")
+	case <-time.After(killDelay):
+		t.Fatal("the process still runs")
+	}
+}
+
 // Guards against a control process that runs out of file descriptors because
 // others keep unused connections open to it, and then can neither answer nor
 // write its log.
