--- a/controller/full_test.go
+++ b/controller/full_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"goldcreststack.example/goldcreststack/controller"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/relayer"
 	"goldcreststack.example/goldcreststack/reporter"
@@ -102,3 +103,62 @@
 	full[0].Store(false)
 	stops[0]()
 }
+
+// Guards against a member that ends with an error when its disk has room again,
+// because it has taken a snapshot of entries that it could not write meanwhile.
+func TestSnapshotBeforeWaitingWrites(t *testing.T) {
+	var first []modeler.Member
+	var addresses []string
+	var listeners []net.Listener
+	for id := range modeler.MemberID(3) {
+		l := listen(t, "127.0.0.1:0")
+		listeners = append(listeners, l)
+		addresses = append(addresses, l.Addr().String())
+		first = append(first, modeler.Member{ID: id + 1, Address: l.Addr().String()})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	full := make([]atomic.Bool, len(first))
+	ended := make(chan error, len(first))
+	for i, l := range listeners {
+		c, err := controller.New(controller.Settings{
+			Member: first[i].ID, Listener: l, Advertise: addresses[i], Folder: filepath.Join(t.TempDir(), "data"),
+			First: modeler.Membership{Members: first}, Bootstrap: true, Disk: fillableDisk(&full[i]), SnapshotEvery: 10,
+			Report: reporter.New(reporter.Options{Role: "control", Name: "test", Out: io.Discard}),
+			Flows:  &controller.FlowSettings{},
+		})
+		assert.NilError(t, err)
+		go func() { ended <- c.Run(ctx) }()
+	}
+	r := relayer.New(relayer.Settings{Name: "test", Report: reporter.New(reporter.Options{Role: "entry", Name: "test", Out: io.Discard})})
+	go func() { _ = r.Run(ctx) }()
+	r.KeepLinks(ctx, addresses)
+	number := modeler.TicketNumber(0)
+	acceptLayouts := func(count modeler.TicketNumber) {
+		for wanted := number + count; number < wanted; {
+			layout := &modeler.Layout{Number: number + 1, Document: []byte("{}")}
+			if _, err := r.Call(ctx, &modeler.Call{Kind: modeler.SetLayoutCall, Layout: layout}); err == nil {
+				number++
+			}
+			select {
+			case err := <-ended:
+				t.Fatalf("a member has ended: %v", err)
+			default:
+			}
+		}
+	}
+	acceptLayouts(15)
+	for i := range full {
+		full[i].Store(true)
+		acceptLayouts(30)
+		full[i].Store(false)
+		// Writes are repeated every half a second.
+		for end := time.Now().Add(time.Second); time.Now().Before(end); {
+			acceptLayouts(1)
+		}
+	}
+	cancel()
+	for range first {
+		assert.NilError(t, <-ended)
+	}
+}
