End a control process whose member has failed

Callers saw no-leader from such a process for the rest of its life, and the group had a voter less for good: no line, no exit, and so no restart by the platform.

Cause: when the controller returned an error (a failed sync, an append that the store refuses, a link port in use), the group's context ended and with it the links, the admission and the reload of settings. The goroutine that shuts the HTTP servers down returned without closing them, so that the wait for all goroutines never ended.

Now this goroutine closes the servers, run returns the error, and the process exits.

--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -285,7 +285,8 @@
 
 // run serves the handlers until ctx ends. It then stops in this order: readiness
 // fails, an entry process waits drainDelay, the controller stops, the servers
-// finish their requests, the links close.
+// finish their requests, the links close. If a server or the controller fails, it
+// returns the error without waiting for requests.
 func (p *process) run(ctx context.Context, c *controller.Controller, handlers map[string]http.Handler) error {
 	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
@@ -330,6 +331,11 @@
 		select {
 		case <-ctx.Done():
 		case <-serveCtx.Done():
+			// A part of the process has failed. Without it the process must end, so
+			// that the platform starts it again.
+			for _, server := range servers {
+				_ = server.Close()
+			}
 			return nil
 		}
 		p.report.Info("process stops", "grace", p.node.GracePeriod.String())
