--- a/controller/core.go
+++ b/controller/core.go
@@ -35,6 +35,12 @@
 	reply func(modeler.Result)
 }
 
+// unwrittenSnapshot is a snapshot with the copy of the state that it will hold.
+type unwrittenSnapshot struct {
+	snapshot modeler.Snapshot
+	state    *applier.Copy
+}
+
 // core holds the state that only the core goroutine uses.
 type core struct {
 	controller       *Controller
@@ -63,6 +69,9 @@
 	// snapshot is the index of the newest snapshot.
 	snapshot         modeler.Index
 	isSavingSnapshot bool
+	// unwrittenSnapshot waits until the entries that it covers are on the disk;
+	// nil if there is none.
+	unwrittenSnapshot *unwrittenSnapshot
 	// bytesSinceSnapshot is the size of the log entries applied since the last
 	// snapshot, and bytesInSnapshot the part of it that the snapshot being saved
 	// covers.
@@ -159,6 +168,7 @@
 		c.log.Step(now, e.message)
 	case writeSynced:
 		c.log.Synced(now, e.write)
+		c.saveSnapshot(ctx)
 	case diskFullChanged:
 		c.diskFull = e.diskFull
 	case snapshotFinished:
@@ -342,7 +352,7 @@
 
 // takeSnapshot starts a snapshot when enough entries or bytes have been applied
 // and no other snapshot is being saved. It copies the state here; another
-// goroutine encodes the copy.
+// goroutine encodes the copy and saves it.
 func (c *core) takeSnapshot(ctx context.Context) {
 	settings := &c.controller.settings
 	due := c.appliedIndex >= c.snapshot+settings.SnapshotEvery || c.bytesSinceSnapshot >= settings.SnapshotBytes
@@ -356,7 +366,20 @@
 		Term:       c.appliedTerm,
 		Membership: c.log.MembershipAt(c.appliedIndex),
 	}
-	go c.controller.saveSnapshot(ctx, s, c.state.Copy())
+	c.unwrittenSnapshot = &unwrittenSnapshot{snapshot: s, state: c.state.Copy()}
+	c.saveSnapshot(ctx)
+}
+
+// saveSnapshot saves the snapshot that was taken, once the entries that it covers
+// are on the disk. The store refuses entries that a saved snapshot covers, and a
+// commit doesn't wait for this member's disk.
+func (c *core) saveSnapshot(ctx context.Context) {
+	s := c.unwrittenSnapshot
+	if s == nil || c.log.Summary().Synced < s.snapshot.Index {
+		return
+	}
+	c.unwrittenSnapshot = nil
+	go c.controller.saveSnapshot(ctx, s.snapshot, s.state)
 }
 
 // propose appends a command to the log; reply is called with its result, if it
