--- a/applier/applier_test.go
+++ b/applier/applier_test.go
@@ -259,3 +259,21 @@
 		}
 	}
 }
+
+// Guards against a command that is accepted, but ends every control process that
+// applies it, at once and at each later start, since it holds a long list.
+func TestLongListsAreApplied(t *testing.T) {
+	const long = 1 << 18
+	layout := &modeler.Layout{Number: 1, Queues: make([]modeler.Queue, long)}
+	flow := &modeler.Flow{ID: "0123456789abcdef", Steps: []modeler.Step{{Count: 1}, {Count: 1, After: make([]modeler.StepIndex, long)}}}
+	worker := modeler.WorkerAnnouncement{ID: "i-1", Labels: make([]string, long)}
+	for i, c := range []*modeler.Command{
+		{Kind: modeler.SetLayout, Layout: layout},
+		{Kind: modeler.SubmitFlow, Flow: flow},
+		{Kind: modeler.RecordWorkers, Announcements: []modeler.WorkerAnnouncement{worker}},
+	} {
+		result, err := applier.New().ApplyData(modeler.Index(i+1), applier.Encode(c))
+		assert.NilError(t, err)
+		assert.Equal(t, result.Kind, classifier.None)
+	}
+}
