Decode committed commands with the limits of the links

What callers saw, in a test: after a configuration with 140,000 routes the only control process ended with "decode a committed command: cbor: exceeded max number of elements 131072 for CBOR array". Since the entry is in the log by then, all members of a group end in the same way, at once and at each later start: the group is lost for good. A job of 600 KB whose step names a predecessor 260,000 times, or a worker with as many labels, does the same.

Cause: links accept lists of up to 16 million elements, the decoder of committed commands only the library's default of 131,072.

Commands are now decoded with the limits of the links. A body has 16 MiB at most, so that no list in it reaches them.

--- a/applier/applier.go
+++ b/applier/applier.go
@@ -70,7 +70,7 @@
 // returns an error if the data can't be decoded.
 func (a *Applier) ApplyData(index modeler.Index, data []byte) (modeler.Result, error) {
 	var c modeler.Command
-	if err := cbor.Unmarshal(data, &c); err != nil {
+	if err := decoder.Unmarshal(data, &c); err != nil {
 		return modeler.Result{}, classifier.Wrap(classifier.Internal, err, "decode a committed command")
 	}
 	return a.Apply(index, &c), nil
--- a/applier/snapshot.go
+++ b/applier/snapshot.go
@@ -119,7 +119,8 @@
 func (a *Applier) Save() ([]byte, error) { return a.Copy().Encode() }
 
 // decoder raises the library's limits on the sizes of lists and maps, which a
-// snapshot of a large cell exceeds.
+// snapshot of a large cell and long lists in a command exceed. The limits are
+// those of the links over which commands come.
 var decoder = newDecoder()
 
 func newDecoder() cbor.DecMode {
