--- a/applier/applier_test.go
+++ b/applier/applier_test.go
@@ -277,3 +277,17 @@
 		assert.Equal(t, result.Kind, classifier.None)
 	}
 }
+
+// Guards against a command that is accepted, but ends every control process that
+// applies it or loads a snapshot with it, since a string isn't valid UTF-8.
+func TestStringsOfAnyBytesAreApplied(t *testing.T) {
+	state := applier.New()
+	worker := modeler.WorkerAnnouncement{ID: "\xff"}
+	_, err := state.ApplyData(1, applier.Encode(&modeler.Command{Kind: modeler.RecordWorkers, Announcements: []modeler.WorkerAnnouncement{worker}}))
+	assert.NilError(t, err)
+	saved, err := state.Save()
+	assert.NilError(t, err)
+	loaded := applier.New()
+	assert.NilError(t, loaded.Load(saved))
+	assert.DeepEqual(t, loaded.Flows().Workers(), map[modeler.WorkerID]modeler.WorkerAnnouncement{"\xff": worker})
+}
--- a/linker/link_test.go
+++ b/linker/link_test.go
@@ -75,3 +75,23 @@
 	time.Sleep(100 * time.Millisecond)
 	assert.Assert(t, l.SilentFor() >= before+100*time.Millisecond)
 }
+
+// Guards against a link that closes, with all calls that wait on it, because of a
+// string that isn't valid UTF-8, such as a caller's path.
+func TestStringsOfAnyBytesArePassedOn(t *testing.T) {
+	linked := make(chan *linker.Link, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if l, err := linker.Accept(w, r, modeler.Hello{Member: 2}); err == nil {
+			linked <- l
+			<-l.Done()
+		}
+	}))
+	defer server.Close()
+	l, err := linker.Dial(t.Context(), strings.TrimPrefix(server.URL, "http://"), modeler.Hello{Member: 1})
+	assert.NilError(t, err)
+	defer l.Close()
+	l.Send(&modeler.Message{Kind: modeler.CallMessage, Call: &modeler.Call{Kind: modeler.StateCall, Path: "/\xff/"}})
+	m, open := <-(<-linked).Receive()
+	assert.Assert(t, open, "the link was closed")
+	assert.Equal(t, m.Call.Path, "/\xff/")
+}
