Accept strings that are not valid UTF-8 in messages and commands

What callers saw, in a trial with one entry and one control process: a single GET of /%FF/ on the entry process got no answer within a second, and the process lost its link to the leader 19 times in that second. Every other request that waited on the link lost its answer each time; a submission among them ends as 504, with an unknown outcome. A request with a worker's id of %FF does the same to a control process, and so to its heartbeats.

Cause: paths and ids are decoded from URLs and may hold any bytes. They are sent as text, which the CBOR encoder doesn't check but the decoder does by default. The link closes on a message that can't be decoded, and the call is repeated over the next link for 0.9 to 1.4 s.

Refusing such paths in platform/ alone was weighed: answers of upstreams that are recorded come over the links too.

TestStringsOfAnyBytesArePassedOn and TestStringsOfAnyBytesAreApplied failed before, and pass now.

--- a/applier/snapshot.go
+++ b/applier/snapshot.go
@@ -119,14 +119,15 @@
 func (a *Applier) Save() ([]byte, error) { return a.Copy().Encode() }
 
 // decoder raises the library's limits on the sizes of lists and maps, which a
-// snapshot of a large cell and long lists in a command exceed. The limits are
-// those of the links over which commands come.
+// snapshot of a large cell and long lists in a command exceed, and accepts strings
+// of any bytes. It must accept whatever comes over a link.
 var decoder = newDecoder()
 
 func newDecoder() cbor.DecMode {
 	mode, err := cbor.DecOptions{
 		MaxArrayElements: 1 << 24,
 		MaxMapPairs:      1 << 24,
+		UTF8:             cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic("applier: decoder options: " + err.Error())
--- a/linker/link.go
+++ b/linker/link.go
@@ -243,11 +243,12 @@
 	return nil
 }
 
-// decoder accepts lists as long as those of a snapshot or an inventory.
+// decoder accepts lists as long as those of a snapshot or an inventory, and
+// strings of any bytes, such as a path that a caller has sent.
 var decoder = newDecoder()
 
 func newDecoder() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 24, MaxMapPairs: 1 << 24}.DecMode()
+	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 24, MaxMapPairs: 1 << 24, UTF8: cbor.UTF8DecodeInvalid}.DecMode()
 	if err != nil {
 		panic("linker: decoder options: " + err.Error())
 	}
