Ignore SIGHUP while a hosted process starts

What was seen, in a test: a process that gets SIGHUP before its servers run ends, as by a kill. The platform sends the signal when the settings change, also to a process that it has just started; the start lasts longer with a long log or a slow disk.

Cause: the handler is installed by the goroutine that watches the settings, after the settings and the log were read and the listeners opened. Until then the signal's default action holds.

The signal is now ignored from the beginning until that goroutine handles it.

--- a/cmd/goldcreststack/hosted.go
+++ b/cmd/goldcreststack/hosted.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -23,6 +25,9 @@
 			Short: short,
 			Args:  cobra.NoArgs,
 			RunE: func(cmd *cobra.Command, _ []string) error {
+				// The platform announces changed settings by SIGHUP, which would end the
+				// process. It loses no change, since the settings are polled later.
+				signal.Ignore(syscall.SIGHUP)
 				node, err := platform.LoadNode()
 				if err != nil {
 					return err
