replicator: tell how the voters answered an election that was not won

Without a quorum a member stands for election again and again, and its status shows a pre-candidate and nothing else. Status and Summary hold the newest election that was not decided at the member's next deadline: who has granted it, who has refused it, who is silent, and how many votes it needs. No decision changes. The test had no way to ask for this before.

--- a/replicator/election.go
+++ b/replicator/election.go
@@ -6,6 +6,49 @@
 	"goldcreststack.example/goldcreststack/modeler"
 )
 
+// LostElection describes an election, or a round of pre-votes before one, that a
+// member has started and that was not decided at its next election deadline.
+type LostElection struct {
+	// Count is the number of elections that the member has lost since it started;
+	// the other fields describe the newest one.
+	Count uint64
+	Role  Role
+	Term  modeler.Term
+	// Needed is the number of voters that must grant the election.
+	Needed int
+	// GrantedBy, RefusedBy and Silent hold each voter once. A silent voter is
+	// down or out of reach, or follows a leader.
+	GrantedBy []modeler.Member
+	RefusedBy []modeler.Member
+	Silent    []modeler.Member
+}
+
+// recordLostElection notes how the voters have answered the round of pre-votes
+// or votes that ends.
+func (r *Replicator) recordLostElection() {
+	lost := LostElection{Count: r.lostElection.Count + 1, Role: r.role, Term: r.term}
+	if r.role == PreCandidate {
+		lost.Term++
+	}
+	voters := 0
+	for _, member := range r.currentMembership().Members {
+		if member.Learner {
+			continue
+		}
+		voters++
+		switch {
+		case slices.Contains(r.grantedBy, member.ID):
+			lost.GrantedBy = append(lost.GrantedBy, member)
+		case slices.Contains(r.refusedBy, member.ID):
+			lost.RefusedBy = append(lost.RefusedBy, member)
+		default:
+			lost.Silent = append(lost.Silent, member)
+		}
+	}
+	lost.Needed = voters/2 + 1
+	r.lostElection = lost
+}
+
 // startPreVote asks the voters whether this member could win an election,
 // without raising its term. A member that was cut off from the others thus
 // can't unseat a leader when it returns.
@@ -31,6 +74,7 @@
 func (r *Replicator) campaign() {
 	r.voteRound = uint64(r.now)
 	r.grantedBy = append(r.grantedBy[:0], r.cfg.Self)
+	r.refusedBy = r.refusedBy[:0]
 	if r.hasVoteQuorum() {
 		r.onVoteQuorum()
 		return
@@ -156,6 +200,9 @@
 	}
 	switch {
 	case !m.Granted:
+		if m.Round == r.voteRound && !slices.Contains(r.refusedBy, m.From) {
+			r.refusedBy = append(r.refusedBy, m.From)
+		}
 		switch {
 		case m.Term > r.term:
 			r.onHigherTerm(m.Term)
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -188,6 +188,8 @@
 	votesRequestedAt modeler.ClockReading
 	voteRound        uint64
 	grantedBy        []modeler.MemberID
+	refusedBy        []modeler.MemberID
+	lostElection     LostElection
 
 	// matched is the last entry known to equal the current leader's.
 	matched modeler.Index
@@ -385,6 +387,9 @@
 	case !r.isEligible():
 		return
 	case r.now >= r.electionDeadline:
+		if r.role != Follower {
+			r.recordLostElection()
+		}
 		r.resetElectionDeadline()
 		r.startPreVote()
 	case r.role != Follower && r.now.Sub(r.votesRequestedAt) >= r.cfg.Heartbeat/voteRequestsPerHeartbeat:
@@ -520,6 +525,9 @@
 	Last    modeler.Index
 	Synced  modeler.Index
 	Members modeler.Membership
+	// LostElection is the newest election that the member has started and not won.
+	// The caller must not change its lists.
+	LostElection LostElection
 	// Progress has an element for each other member on a leader, and is empty on
 	// the other roles.
 	Progress []Progress
@@ -551,5 +559,7 @@
 		Last:    r.log.last,
 		Synced:  r.synced,
 		Members: r.currentMembership(),
+
+		LostElection: r.lostElection,
 	}
 }
--- a/replicator/scenario_test.go
+++ b/replicator/scenario_test.go
@@ -418,3 +418,47 @@
 	c.runFor(3 * time.Second)
 	assert.Equal(t, c.leaseHolder().id, later.id)
 }
+
+// TestLostElectionNamesVoters guards against a group without a leader whose
+// members can't tell which voters are missing or refuse.
+func TestLostElectionNamesVoters(t *testing.T) {
+	c := newCluster(t, 7, 5, 0.01)
+	leader := c.awaitLeader()
+	followers := c.others(leader)
+	behind := followers[0]
+	c.cutOff(behind, cutBoth, time.Minute)
+	c.commit(leader, 10, followers[1])
+	assert.Equal(t, leader.r.Status().LostElection.Count, uint64(0))
+	for _, h := range []*host{leader, followers[2], followers[3]} {
+		c.crash(h)
+	}
+	clear(c.cutUntil)
+	c.runUntil(10*time.Second, "lost elections on both members", func() bool {
+		return behind.r.Status().LostElection.Count > 2 && followers[1].r.Status().LostElection.Count > 2
+	})
+	crashed := []modeler.Member{{ID: leader.id}, {ID: followers[2].id}, {ID: followers[3].id}}
+	for _, test := range []struct {
+		h                *host
+		granted, refused []modeler.Member
+	}{
+		{behind, []modeler.Member{{ID: behind.id}}, []modeler.Member{{ID: followers[1].id}}},
+		{followers[1], []modeler.Member{{ID: behind.id}, {ID: followers[1].id}}, nil},
+	} {
+		lost := test.h.r.Status().LostElection
+		assert.Equal(t, lost.Role, replicator.PreCandidate)
+		assert.Equal(t, lost.Term, test.h.r.Status().Term+1)
+		assert.Equal(t, lost.Needed, 3)
+		assert.DeepEqual(t, byID(lost.GrantedBy), byID(test.granted))
+		assert.DeepEqual(t, byID(lost.RefusedBy), byID(test.refused))
+		assert.DeepEqual(t, byID(lost.Silent), byID(crashed))
+	}
+}
+
+func byID(members []modeler.Member) []modeler.MemberID {
+	var ids []modeler.MemberID
+	for _, m := range members {
+		ids = append(ids, m.ID)
+	}
+	slices.Sort(ids)
+	return ids
+}
