hoster: log requests to join when the answer changes, or every 5 s

The line is written when the answer changes and else every 5 s; it holds the number of requests and since when they are made.

--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -50,6 +50,9 @@
 	shutdownTimeout = 1500 * time.Millisecond
 	// joinInterval is the time between two requests to join the group.
 	joinInterval = 300 * time.Millisecond
+	// joinReportInterval is the longest time between two lines about requests to
+	// join that get the same answer.
+	joinReportInterval = 5 * time.Second
 	// settingsPollInterval is the time between two reads of the settings file,
 	// which may change without a signal.
 	settingsPollInterval = 2 * time.Second
@@ -359,11 +362,25 @@
 // joinGroup asks to be admitted to the group as long as the process is not a
 // member.
 func (p *process) joinGroup(ctx context.Context, c *controller.Controller) error {
+	// The process asks several times a second until it belongs to the group, so
+	// the same answer is logged once every joinReportInterval.
+	var begun, logged time.Time
+	lastAnswer, requests := "", 0
 	for {
-		if !c.Joined() {
+		if c.Joined() {
+			lastAnswer, requests = "", 0
+		} else {
 			m := modeler.Member{ID: c.Member(), Address: p.node.LinkAddress}
 			_, err := p.relay.Call(ctx, &modeler.Call{Kind: modeler.JoinCall, Member: &m})
-			p.report.Info("admission asked", "member", m.ID, "answer", classifier.KindOf(err).String())
+			now, answer := time.Now(), classifier.KindOf(err).String()
+			if requests == 0 {
+				begun = now
+			}
+			requests++
+			if answer != lastAnswer || now.Sub(logged) >= joinReportInterval {
+				lastAnswer, logged = answer, now
+				p.report.Info("admission asked", "member", m.ID, "answer", answer, "requests", requests, "since", now.Sub(begun).String())
+			}
 		}
 		select {
 		case <-time.After(joinInterval):
--- a/hoster/hoster_test.go
+++ b/hoster/hoster_test.go
@@ -195,6 +195,16 @@
 	assert.Assert(t, !bootstrap, "a host that is no seed begins a group")
 }
 
+// TestAdmissionRequestsAreLoggedOnce guards against a host that is not admitted
+// and fills its log with the same line, three times a second.
+func TestAdmissionRequestsAreLoggedOnce(t *testing.T) {
+	port := freePort(t)
+	out, _ := startProcess(t, imitator.Node{Name: "c1", IP: ip(6), Port: port, Seeds: []string{imitator.PortAddress(ip(7), port, 1)}, DataFolder: filepath.Join(t.TempDir(), "data")})
+	assert.Assert(t, eventually(startTimeout, func() bool { return out.count("admission asked") > 0 }), "the host does not ask")
+	time.Sleep(2 * time.Second)
+	assert.Equal(t, out.count("admission asked"), 1)
+}
+
 // Guards against requests that are cut off when an entry host is stopped: its
 // readiness must fail at once, and it must serve until two probes have failed.
 func TestStopOfEntryHost(t *testing.T) {
