controller: show who votes, who is silent and what the group bears

- The leader logs a member that has not answered for 1 s, and when it answers again, with voters, needed votes, silent voters and spare losses.
- A member logs an election that it has not won: votes needed, and the addresses that granted, refused and did not answer; the same content at most every 5 s.
- member added, removed and votes are logged after the replicator has accepted the change; a refused one is logged with its reason, per member when the reason changes and at most every 5 s.
Before, each refused request of a new host wrote "member added".
Changes by the operator are logged too.
- Metrics voters, learners, silent_voters, spare_losses (NaN on members that do not lead) and lost_elections; the status, its printed form and the dump hold the same and the last refusal.

No decision changes.

--- a/controller/core.go
+++ b/controller/core.go
@@ -75,6 +75,15 @@
 	// handOverDone is closed when a leadership transfer before a shutdown is
 	// over; nil if none is under way.
 	handOverDone chan struct{}
+
+	// lostElections is the number of lost elections that have been reported.
+	lostElections     uint64
+	lostElectionLimit repeatLimit
+	// refusals limits the lines about refused changes, for each member.
+	refusals map[modeler.MemberID]*repeatLimit
+	// lastRefusal says why the newest change of members was refused; empty after
+	// an accepted one.
+	lastRefusal string
 }
 
 func newCore(controller *Controller, saved replicator.Saved) (*core, error) {
@@ -85,6 +94,7 @@
 		pendingProposals: make(map[modeler.Index]proposal),
 		entryLinks:       make(map[modeler.EntrySession]*linker.Link),
 		entrySessions:    make(map[*linker.Link]modeler.EntrySession),
+		refusals:         make(map[modeler.MemberID]*repeatLimit),
 		snapshot:         saved.Snapshot.Index,
 		appliedTerm:      saved.Snapshot.Term,
 	}
@@ -390,6 +400,7 @@
 			"last", status.Last, "commit", status.Commit)
 		c.role = status.Role
 	}
+	c.reportLostElection(now, &status.LostElection)
 	if c.leader != nil && (!leads || c.leader.term != status.Term) {
 		c.endLeadership()
 	}
--- a/controller/entries.go
+++ b/controller/entries.go
@@ -203,7 +203,13 @@
 			status.Lag = 0
 		}
 		for _, p := range s.Progress {
-			if p.Member.ID == m.ID && p.Answered {
+			if p.Member.ID != m.ID {
+				continue
+			}
+			if c.leader != nil {
+				status.Silent = modeler.Duration(c.leader.watch.silence(now, &p).Truncate(time.Millisecond))
+			}
+			if p.Answered {
 				status.Match = p.Match
 				status.Lag = modeler.Duration(now.Sub(p.LastContact).Truncate(time.Millisecond))
 			}
--- a/controller/joining.go
+++ b/controller/joining.go
@@ -19,17 +19,20 @@
 func (c *core) admitMember(now modeler.ClockReading, m modeler.Member) modeler.Reply {
 	members := c.log.Status().Members.Members
 	next := slices.Clone(members)
+	event, changed := "member added", m
+	var reason []any
 	switch at := slices.IndexFunc(members, func(held modeler.Member) bool { return held.Address == m.Address }); {
 	case at >= 0 && members[at].ID == m.ID:
 		return modeler.Reply{}
 	case at >= 0:
+		event, changed, reason = "member removed", members[at], []any{"reason", "its host came back without its disk"}
 		next = slices.Delete(next, at, at+1)
-		c.controller.settings.Report.Info("member removed", "member", members[at].ID, "address", m.Address, "reason", "its host came back without its disk")
 	default:
 		next = append(next, modeler.Member{ID: m.ID, Address: m.Address, Learner: true})
-		c.controller.settings.Report.Info("member added", "member", m.ID, "address", m.Address)
 	}
-	if err := c.log.ChangeMembers(now, modeler.Membership{Members: next}); err != nil {
+	err := c.log.ChangeMembers(now, modeler.Membership{Members: next})
+	c.reportChange(now, event, changed, err, reason...)
+	if err != nil {
 		return errorReply(err)
 	}
 	return errorReply(classifier.New(classifier.Unconfirmed, "the member is being added"))
@@ -74,12 +77,14 @@
 // the next tick tries again.
 func (c *core) proposeMembership(now modeler.ClockReading, from modeler.Membership, event string, id modeler.MemberID, keep func(modeler.Member) (modeler.Member, bool)) {
 	var next modeler.Membership
+	var changed modeler.Member
 	for _, m := range from.Members {
+		if m.ID == id {
+			changed = m
+		}
 		if kept, ok := keep(m); ok {
 			next.Members = append(next.Members, kept)
 		}
 	}
-	if err := c.log.ChangeMembers(now, next); err == nil {
-		c.controller.settings.Report.Info(event, "member", id, "members", len(next.Members))
-	}
+	c.reportChange(now, event, changed, c.log.ChangeMembers(now, next), "members", len(next.Members))
 }
--- a/controller/leadership.go
+++ b/controller/leadership.go
@@ -42,6 +42,7 @@
 	replacements   replacements
 	// flows is nil if the process runs no flows.
 	flows *flowLeadership
+	watch memberWatch
 }
 
 // workerView is what the status reports about a worker.
@@ -64,6 +65,7 @@
 		needsPlacement: true,
 
 		replacements: newReplacements(),
+		watch:        newMemberWatch(),
 	}
 	for _, team := range c.state.Cell().Teams {
 		l.cell.SetTeam(now, team)
@@ -103,6 +105,7 @@
 		l.flows.updateLoad(now)
 		l.flows.cell.Tick(now, l.core.logTime())
 	}
+	l.watchMembers(now)
 	l.core.updateVoters(now)
 	l.proposeReplacements(now)
 	l.needsPlacement = true
--- a/controller/query.go
+++ b/controller/query.go
@@ -59,6 +59,7 @@
 		Ticket:         cell.Ticket,
 		VersionInForce: inForce,
 		Members:        c.memberStatuses(now, log),
+		Quorum:         l.quorumStatus(now, &log),
 		Pending:        c.pendingMembers(),
 		Entries:        c.entryStatuses(now),
 		Workers:        l.workerSummary(),
@@ -233,6 +234,7 @@
 func (l *leadership) changeMembers(now modeler.ClockReading, q *modeler.Query) modeler.QueryAnswer {
 	members := l.core.log.Status().Members.Members
 	at := slices.IndexFunc(members, func(m modeler.Member) bool { return m.ID == q.Member.ID })
+	event, changed := "", q.Member
 	switch {
 	case q.Kind == modeler.AddMember && at >= 0 && members[at].Address == q.Member.Address,
 		q.Kind == modeler.PromoteMember && at >= 0 && !members[at].Learner:
@@ -241,16 +243,20 @@
 	case q.Kind == modeler.AddMember && at >= 0:
 		return errorAnswer(classifier.New(classifier.Malformed, "member %d exists; a replaced host takes a new id", q.Member.ID))
 	case q.Kind == modeler.AddMember:
+		event = "member added"
 		members = append(members, modeler.Member{ID: q.Member.ID, Address: q.Member.Address, Learner: true})
 	case at < 0:
 		return errorAnswer(classifier.New(classifier.Malformed, "member %d does not exist", q.Member.ID))
 	case q.Kind == modeler.PromoteMember:
+		event, changed = "member votes", members[at]
 		members[at].Learner = false
 	default:
+		event, changed = "member removed", members[at]
 		members = slices.Delete(members, at, at+1)
 	}
-	next := modeler.Membership{Members: members}
-	if err := l.core.log.ChangeMembers(now, next); err != nil {
+	err := l.core.log.ChangeMembers(now, modeler.Membership{Members: members})
+	l.core.reportChange(now, event, changed, err, "reason", "the operator asked for it")
+	if err != nil {
 		return errorAnswer(err)
 	}
 	return l.members(now)
--- a/controller/report.go
+++ b/controller/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -87,14 +88,30 @@
 	Behind modeler.Duration `json:"behind"`
 	// Carried counts the orders that other processes carry, Carriers counts those
 	// processes, and Refuses reports whether new flows are refused.
-	Carried   int                       `json:"carried"`
-	Carriers  int                       `json:"carriers"`
-	Refuses   bool                      `json:"refuses"`
-	Members   []modeler.MemberStatus    `json:"members"`
-	Sessions  []allocator.SessionStatus `json:"sessions"`
-	Workers   []allocator.WorkerStatus  `json:"workers"`
-	Placement any                       `json:"placement,omitempty"`
-	Flows     any                       `json:"flows,omitempty"`
+	Carried  int                    `json:"carried"`
+	Carriers int                    `json:"carriers"`
+	Refuses  bool                   `json:"refuses"`
+	Members  []modeler.MemberStatus `json:"members"`
+	// Quorum is set on the leader.
+	Quorum *modeler.QuorumStatus `json:"quorum,omitempty"`
+	// LostElection is the newest election that the member has not won.
+	LostElection *lostElectionView         `json:"lost,omitempty"`
+	Sessions     []allocator.SessionStatus `json:"sessions"`
+	Workers      []allocator.WorkerStatus  `json:"workers"`
+	Placement    any                       `json:"placement,omitempty"`
+	Flows        any                       `json:"flows,omitempty"`
+}
+
+// lostElectionView is an election that the member has not won; the voters are
+// listed by address.
+type lostElectionView struct {
+	Count   uint64       `json:"count"`
+	Role    string       `json:"role"`
+	Term    modeler.Term `json:"term"`
+	Needed  int          `json:"needed"`
+	Granted []string     `json:"granted"`
+	Refused []string     `json:"refused"`
+	Silent  []string     `json:"silent"`
 }
 
 // readView gets the view from the core goroutine, with the lists of sessions
@@ -129,7 +146,15 @@
 		Records:  c.state.Records().Len(),
 		Members:  c.memberStatuses(now, log),
 	}
+	if lost := &log.LostElection; lost.Count > 0 {
+		v.LostElection = &lostElectionView{
+			Count: lost.Count, Role: lost.Role.String(), Term: lost.Term, Needed: lost.Needed,
+			Granted: addresses(lost.GrantedBy), Refused: addresses(lost.RefusedBy), Silent: addresses(lost.Silent),
+		}
+	}
 	if c.leader != nil {
+		quorum := c.leader.quorumStatus(now, &log)
+		v.Quorum = &quorum
 		v.Running = c.leader.taskSupervisor.AttemptCount()
 		if flows := c.leader.flows; flows != nil {
 			v.Carried, v.Carriers, v.Refuses = flows.carrier.PendingOrders(), flows.carrier.ReadyProcesses(), flows.refusesFlows
@@ -174,6 +199,24 @@
 	gauge("carried_orders", func(v coreView) float64 { return float64(v.Carried) })
 	gauge("carriers", func(v coreView) float64 { return float64(v.Carriers) })
 	gauge("refuses_flows", func(v coreView) float64 { return boolGauge(v.Refuses) })
+	quorumGauge := func(name string, value func(*modeler.QuorumStatus) int) {
+		gauge(name, func(v coreView) float64 {
+			if v.Quorum == nil {
+				return math.NaN()
+			}
+			return float64(value(v.Quorum))
+		})
+	}
+	quorumGauge("voters", func(q *modeler.QuorumStatus) int { return q.Voters })
+	quorumGauge("learners", func(q *modeler.QuorumStatus) int { return q.Learners })
+	quorumGauge("silent_voters", func(q *modeler.QuorumStatus) int { return q.Silent })
+	quorumGauge("spare_losses", func(q *modeler.QuorumStatus) int { return q.Spare })
+	gauge("lost_elections", func(v coreView) float64 {
+		if v.LostElection == nil {
+			return 0
+		}
+		return float64(v.LostElection.Count)
+	})
 	r.AddSection("control", func() any {
 		ctx, cancel := context.WithTimeout(ctx, viewTimeout)
 		defer cancel()
--- a/modeler/status.go
+++ b/modeler/status.go
@@ -40,6 +40,7 @@
 	// 0 means unknown.
 	VersionInForce Index          `json:"force"`
 	Members        []MemberStatus `json:"members"`
+	Quorum         QuorumStatus   `json:"quorum"`
 	// Pending is set while a change of members is not committed yet.
 	Pending  bool            `json:"pending,omitempty"`
 	Entries  []EntryStatus   `json:"entries"`
@@ -61,11 +62,30 @@
 	// Lag is the time since the leader sent the newest round that the member has
 	// answered; it is negative when the member has answered none.
 	Lag Duration `json:"lag"`
+	// Silent is how long the member has not answered this leader; 0 if it answers.
+	Silent Duration `json:"silent,omitempty"`
 	// Current is set when the member answers and has nearly the whole log, so that
 	// a learner can be promoted.
 	Current bool `json:"current"`
 }
 
+// QuorumStatus tells how many losses the replicated group bears, as the leader
+// knows it.
+type QuorumStatus struct {
+	Voters   int `json:"voters"`
+	Learners int `json:"learners"`
+	// Needed is the number of voters without which there is no leader.
+	Needed int `json:"needed"`
+	// Silent counts the voters that do not answer the leader.
+	Silent int `json:"silent"`
+	// Spare is the number of answering voters that may be lost: Voters less Silent
+	// and Needed.
+	Spare int `json:"spare"`
+	// Refusal says why the newest change of members was refused; it is empty after
+	// an accepted one.
+	Refusal string `json:"refusal,omitempty"`
+}
+
 // MembersAnswer lists the replicated group after a change of members.
 type MembersAnswer struct {
 	Members []MemberStatus `json:"members"`
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -224,6 +224,30 @@
 
 JOB  TEAM  KIND   STATE    WAITING  PLACED  ENDED  FAILED
 j    t     batch  running  1        7       0      0
+`,
+		},
+		{
+			"members that bear no further loss", func(c *operator.Client) operator.Report { return c.Status(t.Context()) },
+			`200 {"leader": 2, "term": 3, "members": [{"id": 2, "address": "192.0.2.12:7100", "match": 9, "lag": "0s", "current": true},` +
+				`{"id": 3, "address": "192.0.2.13:7100", "match": 4, "lag": "20s", "silent": "20s"},` +
+				`{"id": 4, "address": "192.0.2.14:7100", "match": 0, "lag": "-1ns", "silent": "9s"}],` +
+				`"quorum": {"voters": 3, "learners": 0, "needed": 2, "silent": 2, "spare": -1, "refusal": "member added: 5 at 192.0.2.15:7100: busy"}}`,
+			operator.Done, "GET 192.0.2.1:1/v1/status ",
+			`leader 2 in term 3, version 0 by ticket 0, in force everywhere: version 0
+workers: 0 known, 0 leaving, 0 silent, 0 quarantined
+used: 0 of 0 millicores, 0 of 0 bytes, 0 of 0 accelerators
+tasks: 0 waiting, 0 running; at-most-once records: 0
+
+MEMBER  ADDRESS          ROLE   MATCH  CAUGHT UP  LAG
+2       192.0.2.12:7100  voter  9      yes        0s
+3       192.0.2.13:7100  voter  4      no         no answer for 20s
+4       192.0.2.14:7100  voter  0      no         no answer for 9s
+3 voters, 2 of them silent, 2 needed, 0 learners: the group bears no further loss
+the last change of members was refused: member added: 5 at 192.0.2.15:7100: busy
+
+ENTRY  VERSION  BEHIND  HELD  HEARD
+
+SERVICE  WORKERS  SLOTS
 `,
 		},
 		{
--- a/operator/report.go
+++ b/operator/report.go
@@ -180,6 +180,7 @@
 		a.Workers.Used.Accelerators, a.Workers.Capacity.Accelerators)
 	fmt.Fprintf(out, "tasks: %d waiting, %d running; at-most-once records: %d\n\n", a.Tasks.Waiting, a.Tasks.Running, a.Records)
 	printMembers(out, a.Members, a.Pending)
+	printQuorum(out, a.Quorum)
 	fmt.Fprintln(out, "\nENTRY\tVERSION\tBEHIND\tHELD\tHEARD")
 	for _, e := range a.Entries {
 		fmt.Fprintf(out, "%s\t%d\t%t\t%d\t%s\n", e.Entry, e.Version, e.Behind, e.SlotsHeld, e.SinceHeard.Std())
@@ -209,7 +210,9 @@
 		if m.Current {
 			caughtUp = "yes"
 		}
-		if m.Lag >= 0 {
+		if m.Silent > 0 {
+			lag = "no answer for " + m.Silent.Std().String()
+		} else if m.Lag >= 0 {
 			lag = m.Lag.Std().String()
 		}
 		fmt.Fprintf(out, "%d\t%s\t%s\t%d\t%s\t%s\n", m.ID, m.Address, role, m.Match, caughtUp, lag)
@@ -219,6 +222,29 @@
 	}
 }
 
+// printQuorum prints nothing for a leader of a release that does not send it.
+func printQuorum(out io.Writer, q modeler.QuorumStatus) {
+	if q.Needed == 0 {
+		return
+	}
+	fmt.Fprintf(out, "%d voters, %d of them silent, %d needed, %d learners: the group bears %s\n",
+		q.Voters, q.Silent, q.Needed, q.Learners, furtherLosses(q.Spare))
+	if q.Refusal != "" {
+		fmt.Fprintf(out, "the last change of members was refused: %s\n", q.Refusal)
+	}
+}
+
+func furtherLosses(spare int) string {
+	switch {
+	case spare <= 0:
+		return "no further loss"
+	case spare == 1:
+		return "1 further loss"
+	default:
+		return fmt.Sprintf("%d further losses", spare)
+	}
+}
+
 func printJob(out io.Writer, a modeler.JobStatus) {
 	fmt.Fprintf(out, "job %s of team %s (%s): %s\n", a.ID, a.Team, a.Kind, a.State)
 	fmt.Fprintf(out, "tasks: %d waiting, %d placed, %d ended, %d of them failed; %d in all\n", a.Waiting, a.Placed, a.Ended, a.Failed, a.Total)
