controller: log messages to members that this one does not know

Messages between members are dropped when their receiver is not among the members in the sender's log. The line names the receiver and the kind of the message, at most every 5 s for each; member_messages_dropped_total counts these and the ones without a link. Nothing else is sent or dropped than before.

--- a/controller/core.go
+++ b/controller/core.go
@@ -262,8 +262,11 @@
 			return err
 		}
 	}
-	for i := range out.Messages {
-		c.controller.peers.send(&out.Messages[i])
+	if len(out.Messages) > 0 {
+		now := c.controller.now()
+		for i := range out.Messages {
+			c.controller.peers.send(now, &out.Messages[i])
+		}
 	}
 	if out.Snapshot != nil {
 		if err := c.installSnapshot(out.Snapshot); err != nil {
--- a/controller/links.go
+++ b/controller/links.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"goldcreststack.example/goldcreststack/linker"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/reporter"
@@ -50,10 +52,14 @@
 	c.post(ctx, entryLinkDown{link: l})
 }
 
+// maxUnsent bounds the members without a known address that are remembered.
+const maxUnsent = 64
+
 // peerLinks keeps one outgoing link to every other member.
 type peerLinks struct {
 	self    modeler.MemberID
 	report  *reporter.Reporter
+	dropped *metrics.Counter
 	seeds   []modeler.Member
 	changed chan struct{}
 
@@ -63,16 +69,21 @@
 	// redials has a channel for each address that ends the wait before its next
 	// dial.
 	redials map[string]chan struct{}
+	// unsent limits the lines about messages to members without a known address;
+	// only the core goroutine uses it.
+	unsent map[modeler.MemberID]*repeatLimit
 }
 
 func newPeerLinks(self modeler.MemberID, seeds []modeler.Member, report *reporter.Reporter) *peerLinks {
 	return &peerLinks{
 		self:    self,
 		report:  report,
+		dropped: report.Counter("member_messages_dropped_total"),
 		seeds:   seeds,
 		changed: make(chan struct{}, 1),
 		links:   make(map[string]*linker.Link),
 		redials: make(map[string]chan struct{}),
+		unsent:  make(map[modeler.MemberID]*repeatLimit),
 	}
 }
 
@@ -122,17 +133,39 @@
 
 // send sends a message to the member that it names; the message is dropped if
 // there is no link.
-func (p *peerLinks) send(m *modeler.PeerMessage) {
+func (p *peerLinks) send(now modeler.ClockReading, m *modeler.PeerMessage) {
 	p.mu.Lock()
 	var l *linker.Link
+	known := false
 	for _, member := range p.otherMembers() {
 		if member.ID == m.To {
-			l = p.links[member.Address]
+			l, known = p.links[member.Address], true
 		}
 	}
 	p.mu.Unlock()
 	if l != nil {
 		l.Send(&modeler.Message{Kind: modeler.PeerMessageKind, Peer: m})
+		return
+	}
+	p.dropped.Inc()
+	if !known {
+		p.reportUnsent(now, m)
+	}
+}
+
+// reportUnsent logs that a message has no receiver: the newest membership in the
+// log of this member, or its settings before it has one, does not hold it.
+func (p *peerLinks) reportUnsent(now modeler.ClockReading, m *modeler.PeerMessage) {
+	limit := p.unsent[m.To]
+	if limit == nil {
+		if len(p.unsent) >= maxUnsent {
+			clear(p.unsent)
+		}
+		limit = &repeatLimit{}
+		p.unsent[m.To] = limit
+	}
+	if ok, skipped := limit.allow(now, m.Kind.String()); ok {
+		p.report.Info("member has no known address", "member", m.To, "kind", m.Kind.String(), "term", m.Term, "skipped", skipped)
 	}
 }
 
--- a/controller/quorum_test.go
+++ b/controller/quorum_test.go
@@ -281,3 +281,23 @@
 	assert.Equal(t, len(log.find(t, "member added")), 2)
 	assert.Equal(t, members[0].status(t).Quorum.Refusal, "")
 }
+
+// TestUnknownReceiverIsReported guards against a member whose answers are dropped
+// without a line, and against a line for each of them.
+func TestUnknownReceiverIsReported(t *testing.T) {
+	members, _ := startGroup(t, 1, nil)
+	only := members[0]
+	l, err := linker.Dial(t.Context(), only.Address, modeler.Hello{Member: 77})
+	assert.NilError(t, err)
+	defer l.Close()
+	const sent = 20
+	for range sent {
+		l.Send(&modeler.Message{Kind: modeler.PeerMessageKind, Peer: &modeler.PeerMessage{Kind: modeler.Append, From: 78, To: only.ID, Term: 1}})
+	}
+	lines := only.log.await(t, "member has no known address", recovery)
+	time.Sleep(200 * time.Millisecond)
+	assert.Equal(t, len(only.log.find(t, "member has no known address")), 1)
+	assert.Equal(t, lines[0].Member, modeler.MemberID(78))
+	assert.Equal(t, lines[0].Kind, "append answer")
+	assert.Assert(t, only.hasMetric("member_messages_dropped_total", "20"))
+}
--- a/modeler/peer.go
+++ b/modeler/peer.go
@@ -17,6 +17,20 @@
 	TransferLeadership
 )
 
+var peerNames = [...]string{
+	PreVote: "pre-vote", PreVoteAnswer: "pre-vote answer", Vote: "vote", VoteAnswer: "vote answer", Append: "append",
+	AppendAnswer: "append answer", InstallSnapshot: "install snapshot", SnapshotAnswer: "snapshot answer",
+	TransferLeadership: "transfer leadership",
+}
+
+// String returns the kind as log lines show it.
+func (k PeerKind) String() string {
+	if int(k) < len(peerNames) {
+		return peerNames[k]
+	}
+	return "unknown"
+}
+
 // PeerMessage is a message between two members of the replicated group.
 type PeerMessage struct {
 	Kind PeerKind `cbor:"1,keyasint"`
