--- a/cmd/goldcreststack/system_test.go
+++ b/cmd/goldcreststack/system_test.go
@@ -84,6 +84,8 @@
 	t    testing.TB
 	name string
 	args []string
+	// env is added to the environment of the test.
+	env  []string
 	log  string
 	cmd  *exec.Cmd
 	done chan error
@@ -97,6 +99,7 @@
 	p.cmd.Stdout = file
 	p.cmd.Stderr = file
 	p.cmd.Dir = filepath.Dir(p.log)
+	p.cmd.Env = append(os.Environ(), p.env...)
 	assert.NilError(p.t, p.cmd.Start())
 	p.done = make(chan error, 1)
 	go func(cmd *exec.Cmd, done chan error) { done <- cmd.Wait() }(p.cmd, p.done)
