Test that hosts of a group of three can be replaced in turn

In a group of three, one replacement makes four voters, and the next loss leaves two of them: no quorum, 5 s after the first loss.

--- a/cmd/goldcreststack/replaced_test.go
+++ b/cmd/goldcreststack/replaced_test.go
@@ -300,3 +300,14 @@
 	leader := f.leader()
 	f.checkLostDisks(f.oldest(1, leader), leader)
 }
+
+// Guards against departed voters that leave the smallest group without a quorum.
+func TestReplacedHostsOfThreeStopCounting(t *testing.T) {
+	f := newFleet(t, 3)
+	for range 4 {
+		leader := f.leader()
+		f.replaceLost(f.oldest(1, leader), leader)
+	}
+	leader := f.leader()
+	f.checkLostDisks(f.oldest(1, leader), leader)
+}
