Test that hosts of a group of nine can be replaced in pairs

A group of nine bears the loss of two hosts at once. After three replaced pairs it has 15 voters, and the fourth pair leaves 7 of them.

--- a/cmd/goldcreststack/replaced_test.go
+++ b/cmd/goldcreststack/replaced_test.go
@@ -311,3 +311,14 @@
 	leader := f.leader()
 	f.checkLostDisks(f.oldest(1, leader), leader)
 }
+
+// Guards against departed voters that count for good when two hosts are lost at once.
+func TestReplacedPairsOfNineStopCounting(t *testing.T) {
+	f := newFleet(t, 9)
+	for range 4 {
+		leader := f.leader()
+		f.replaceLost(f.oldest(2, leader), leader)
+	}
+	leader := f.leader()
+	f.checkLostDisks(f.oldest(2, leader), leader)
+}
