Test that leaders can be replaced in turn

Each time the leader is the host that is lost. Three causes meet here: departed voters add up; the next leader doesn't remove a voter that was gone before its election; and a successor doesn't join a leader with an id that it doesn't know.

--- a/cmd/goldcreststack/replaced_test.go
+++ b/cmd/goldcreststack/replaced_test.go
@@ -322,3 +322,18 @@
 	leader := f.leader()
 	f.checkLostDisks(f.oldest(2, leader), leader)
 }
+
+// Guards against a leader that counts for good after it has departed, and against successors that can't join the next one.
+func TestReplacedLeadersStopCounting(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			f := newFleet(t, size)
+			for range 4 {
+				leader := f.leader()
+				f.replaceLost([]*host{leader}, leader)
+			}
+			leader := f.leader()
+			f.checkLostDisks([]*host{leader}, leader)
+		})
+	}
+}
