Test that hosts can be replaced by successors that come first

A host is added, and another one is stopped with SIGTERM a second later. A host that was stopped in order counts as a voter as one that was lost does. Three hosts have no quorum after the third replacement.

go test ./cmd/goldcreststack -run TestPlannedReplacementsStopCounting failed in 3 of 3 runs on: three: a control host leads: not within 12s: none does five: the acknowledged configuration is answered: not within 11.999998909s: control-1 answers 503

--- a/cmd/goldcreststack/replaced_test.go
+++ b/cmd/goldcreststack/replaced_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -29,6 +30,8 @@
 	// replaceDelay is the time from the loss of a host to the start of its
 	// successor.
 	replaceDelay = time.Second
+	// gracePeriod is the time from SIGTERM to the kill.
+	gracePeriod = 6 * time.Second
 	// seedCount is the number of seeds in a settings file.
 	seedCount = 3
 )
@@ -184,6 +187,19 @@
 	time.Sleep(time.Until(began.Add(catchUp)))
 }
 
+// replacePlanned adds a host and stops an old one with SIGTERM after
+// replaceDelay. It returns when the next loss is allowed.
+func (f *fleet) replacePlanned(old, leader *host) {
+	f.t.Helper()
+	began := time.Now()
+	f.add(1, leader)
+	time.Sleep(time.Until(began.Add(replaceDelay)))
+	old.signal(syscall.SIGTERM)
+	assert.NilError(f.t, old.wait(gracePeriod))
+	f.remove(old)
+	time.Sleep(time.Until(began.Add(catchUp)))
+}
+
 func (f *fleet) remove(h *host) {
 	f.controls = slices.DeleteFunc(f.controls, func(other *host) bool { return other == h })
 }
@@ -337,3 +353,18 @@
 		})
 	}
 }
+
+// Guards against hosts that count for good although they were stopped in order after their successors had come.
+func TestPlannedReplacementsStopCounting(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			f := newFleet(t, size)
+			for range 4 {
+				leader := f.leader()
+				f.replacePlanned(f.oldest(1, leader)[0], leader)
+			}
+			leader := f.leader()
+			f.checkLostDisks(f.oldest(1, leader), leader)
+		})
+	}
+}
