Test that a learner that doesn't catch up holds no other up

The leader considers the first learner that has ever answered it, and ends the round when the replicator refuses its promotion. A learner that answers without catching up, such as one whose disk refuses writes, or one that is lost again before it votes, keeps all later learners from voting until the leader changes. The group then bears no loss although the successors have the whole log.

The new member of the test has a disk that refuses writes of more than 1,000 bytes. Its successor has synced all 304 entries and stays a learner. refusingDisk is the body of fillableDisk with its condition as a parameter.

--- a/controller/full_test.go
+++ b/controller/full_test.go
@@ -21,6 +21,11 @@
 
 // fillableDisk returns a disk whose log files refuse writes while full is set.
 func fillableDisk(full *atomic.Bool) *storer.Disk {
+	return refusingDisk(func([]byte) bool { return full.Load() })
+}
+
+// refusingDisk returns a disk whose log files refuse some writes for lack of space.
+func refusingDisk(refuses func(data []byte) bool) *storer.Disk {
 	disk := storer.SystemDisk()
 	create := disk.Create
 	disk.Create = func(path string) (storer.File, error) {
@@ -30,7 +35,7 @@
 		}
 		write := file.WriteAt
 		file.WriteAt = func(data []byte, offset int64) (int, error) {
-			if full.Load() {
+			if refuses(data) {
 				return 0, syscall.ENOSPC
 			}
 			return write(data, offset)
--- a/controller/replaced_test.go
+++ b/controller/replaced_test.go
@@ -11,6 +11,7 @@
 
 	"goldcreststack.example/goldcreststack/follower"
 	"goldcreststack.example/goldcreststack/modeler"
+	"goldcreststack.example/goldcreststack/storer"
 )
 
 // group is a replicated group of three members in the test process.
@@ -77,12 +78,21 @@
 // join starts a new member that knows the seeds, and returns whether it votes
 // within catchUp.
 func (g *group) join(id modeler.MemberID, seeds ...modeler.Member) bool {
+	return g.admit(g.start(id, nil, seeds))
+}
+
+func (g *group) start(id modeler.MemberID, disk *storer.Disk, seeds []modeler.Member) modeler.Member {
 	l := listen(g.t, "127.0.0.1:0")
-	fresh := modeler.Member{ID: id, Address: l.Addr().String()}
-	startPeer(g.t, id, l, seeds, true, nil)
+	startPeer(g.t, id, l, seeds, true, disk)
+	return modeler.Member{ID: id, Address: l.Addr().String()}
+}
+
+// admit repeats the request to admit a member, and returns whether it votes within
+// catchUp.
+func (g *group) admit(m modeler.Member) bool {
 	for end := time.Now().Add(catchUp); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		g.ask(&modeler.Message{Kind: modeler.CallMessage, Call: &modeler.Call{Kind: modeler.JoinCall, Member: &fresh}})
-		if g.isVoter(id) {
+		g.ask(&modeler.Message{Kind: modeler.CallMessage, Call: &modeler.Call{Kind: modeler.JoinCall, Member: &m}})
+		if g.isVoter(m.ID) {
 			return true
 		}
 	}
@@ -126,3 +136,18 @@
 	time.Sleep(time.Until(began.Add(catchUp)))
 	assert.Assert(t, !g.isVoter(g.members[departed].ID), "voters %s after the departure: %+v", time.Since(gone).Round(time.Second), g.status().Members)
 }
+
+// Guards against a learner that answers but never catches up, so that no later one is promoted.
+func TestStuckLearnerHoldsNobodyUp(t *testing.T) {
+	g := startGroup(t)
+	_, _, departed := g.awaitLeader()
+	for n := range modeler.TicketNumber(300) {
+		layout := &modeler.Layout{Number: n + 1, Document: []byte("{}")}
+		g.ask(&modeler.Message{Kind: modeler.CallMessage, Call: &modeler.Call{Kind: modeler.SetLayoutCall, Layout: layout}})
+	}
+	// The disk takes terms and votes, but no batch of entries.
+	stuck := g.start(33, refusingDisk(func(data []byte) bool { return len(data) > 1000 }), g.members)
+	assert.Assert(t, !g.admit(stuck), "a member without the log votes")
+	g.stops[departed]()
+	assert.Assert(t, g.join(34, g.members...), "no voter within %s: %+v", catchUp, g.status().Members)
+}
