A control host that stops hands its vote to a waiting learner

Seen in tests: in a group of three whose hosts are replaced as planned work (the successor first, SIGTERM to its predecessor when the successor has had catch_up_s), the next loss that the users allow ends the group.

Cause: the predecessor that has stopped counts as a voter until it has been silent for two seconds. The successor waits as a learner meanwhile, so one more loss leaves one of three voters.

Now a control process that stops tells the leader, once it has handed over its own leadership, if the group has a learner. The leader exchanges the two at once. It isn't told whether the process only restarts: it then comes back as the learner that waits. Without a learner nothing changes.

Weighed: promoting the successor beside its predecessor. Four voters of which one stops bear no loss either. Shorter silence would take votes from hosts that restart.

--- a/cmd/goldcreststack/replaced_test.go
+++ b/cmd/goldcreststack/replaced_test.go
@@ -194,12 +194,18 @@
 	began := time.Now()
 	f.add(1, leader)
 	time.Sleep(time.Until(began.Add(replaceDelay)))
-	old.signal(syscall.SIGTERM)
-	assert.NilError(f.t, old.wait(gracePeriod))
-	f.remove(old)
+	f.stopInOrder(old)
 	time.Sleep(time.Until(began.Add(catchUp)))
 }
 
+// stopInOrder stops a host with SIGTERM for good.
+func (f *fleet) stopInOrder(h *host) {
+	f.t.Helper()
+	h.signal(syscall.SIGTERM)
+	assert.NilError(f.t, h.wait(gracePeriod))
+	f.remove(h)
+}
+
 func (f *fleet) remove(h *host) {
 	f.controls = slices.DeleteFunc(f.controls, func(other *host) bool { return other == h })
 }
@@ -368,3 +374,22 @@
 		})
 	}
 }
+
+// Guards against a host that was replaced in order and still counts when the next one is lost.
+func TestNextLossAfterPlannedReplacement(t *testing.T) {
+	f := newFleet(t, 3)
+	for _, leads := range []bool{false, true} {
+		leader := f.leader()
+		stopped := f.oldest(1, leader)[0]
+		if leads {
+			stopped = leader
+		}
+		began := time.Now()
+		f.add(1, leader)
+		time.Sleep(time.Until(began.Add(catchUp)))
+		f.stopInOrder(stopped)
+		leader = f.leader()
+		f.replaceLost(f.oldest(1, leader), leader)
+	}
+	f.checkAcknowledged()
+}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -94,6 +94,8 @@
 	peers    *peerLinks
 	counts   *counts
 	joined   atomic.Bool
+	// replaceable is set while this member votes and the group has a learner.
+	replaceable atomic.Bool
 }
 
 // New opens the data folder and restores the state from it; the process does
@@ -194,6 +196,10 @@
 // membership that it has received, and because it leads or a leader sends to it.
 func (c *Controller) Joined() bool { return c.joined.Load() }
 
+// CanBeReplaced reports whether this member votes and a learner could take its
+// place.
+func (c *Controller) CanBeReplaced() bool { return c.replaceable.Load() }
+
 // post queues an event for the core goroutine; it reports false if ctx ends
 // first.
 func (c *Controller) post(ctx context.Context, e event) bool {
--- a/controller/core.go
+++ b/controller/core.go
@@ -441,6 +441,7 @@
 	}
 	c.controller.peers.setMembers(status.Members.Members)
 	c.controller.joined.Store(c.isJoined(now, status))
+	c.controller.replaceable.Store(c.isReplaceable(status))
 	c.updateHello(status)
 	c.finishHandOver(status)
 }
@@ -457,6 +458,15 @@
 	})
 }
 
+func (c *core) isReplaceable(status replicator.Status) bool {
+	votes, hasLearner := false, false
+	for _, m := range status.Members.Members {
+		votes = votes || !m.Learner && m.ID == c.controller.settings.Member
+		hasLearner = hasLearner || m.Learner
+	}
+	return votes && hasLearner
+}
+
 func (c *core) beginLeadership(now modeler.ClockReading, term modeler.Term) {
 	c.controller.settings.Report.Info("leadership begins", "term", term)
 	c.controller.settings.OnLeadership(true)
--- a/controller/flows.go
+++ b/controller/flows.go
@@ -357,6 +357,11 @@
 			return errorReply(classifier.New(classifier.Malformed, "the member is missing")), nil
 		}
 		return l.core.admitMember(now, *call.Member), nil
+	case modeler.LeaveCall:
+		if call.Member == nil {
+			return errorReply(classifier.New(classifier.Malformed, "the member is missing")), nil
+		}
+		return l.core.releaseMember(now, call.Member.ID), nil
 	default:
 		return errorReply(classifier.New(classifier.Malformed, "unknown call kind %d", call.Kind)), nil
 	}
--- a/controller/joining.go
+++ b/controller/joining.go
@@ -24,13 +24,39 @@
 	return errorReply(classifier.New(classifier.Unconfirmed, "the member is being added"))
 }
 
+// releaseMember notes that a member is about to stop, so that a learner takes its
+// place at once.
+func (c *core) releaseMember(now modeler.ClockReading, id modeler.MemberID) modeler.Reply {
+	if id == c.controller.settings.Member || c.log.Transferring() {
+		return errorReply(classifier.New(classifier.NoLeader, "this member is about to stop"))
+	}
+	c.controller.settings.Report.Info("member leaves", "member", id)
+	c.leader.leaving[id] = now
+	c.updateVoters(now)
+	return modeler.Reply{}
+}
+
+// leavingMembers returns the members that are about to stop. After ReplaceAfter,
+// their silence tells whether they have come back.
+func (l *leadership) leavingMembers(now modeler.ClockReading) []modeler.MemberID {
+	var leaving []modeler.MemberID
+	for id, since := range l.leaving {
+		if now.Sub(since) > l.core.controller.settings.Voters.ReplaceAfter {
+			delete(l.leaving, id)
+			continue
+		}
+		leaving = append(leaving, id)
+	}
+	return leaving
+}
+
 // updateVoters proposes the next change of the members. If it is refused, the
 // next tick tries again.
 func (c *core) updateVoters(now modeler.ClockReading) {
 	if c.controller.settings.Flows == nil {
 		return
 	}
-	if change, due := c.controller.settings.Voters.Next(now, c.log.Status()); due {
+	if change, due := c.controller.settings.Voters.Next(now, c.log.Status(), c.leader.leavingMembers(now)); due {
 		_ = c.proposeMembership(now, change)
 	}
 }
--- a/controller/leadership.go
+++ b/controller/leadership.go
@@ -42,6 +42,9 @@
 	replacements   replacements
 	// flows is nil if the process runs no flows.
 	flows *flowLeadership
+	// leaving has the members that are about to stop, with the reading at which
+	// they have said so.
+	leaving map[modeler.MemberID]modeler.ClockReading
 	// silentMembers has the members whose silence is logged.
 	silentMembers map[modeler.MemberID]bool
 }
@@ -67,6 +70,7 @@
 
 		replacements: newReplacements(),
 
+		leaving:       make(map[modeler.MemberID]modeler.ClockReading),
 		silentMembers: make(map[modeler.MemberID]bool),
 	}
 	for _, team := range c.state.Cell().Teams {
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -331,7 +331,7 @@
 	if c != nil {
 		p.relay.KeepLinks(serveCtx, []string{p.node.LinkAddress})
 		group.Go(func() error { return c.Run(memberCtx) })
-		group.Go(func() error { return p.joinGroup(serveCtx, c) })
+		group.Go(func() error { return p.joinGroup(memberCtx, c) })
 	}
 	group.Go(func() error {
 		select {
@@ -350,6 +350,9 @@
 			time.Sleep(drainDelay)
 		}
 		stopMember()
+		if c != nil {
+			p.leaveGroup(serveCtx, c)
+		}
 		shutdownCtx, cancel := context.WithTimeout(serveCtx, shutdownTimeout)
 		defer cancel()
 		for _, server := range servers {
@@ -399,6 +402,18 @@
 	}
 }
 
+// leaveGroup tells the leader that the process stops, so that a waiting learner
+// takes its place. It isn't known whether the process is replaced or comes back;
+// without a learner its place is kept.
+func (p *process) leaveGroup(ctx context.Context, c *controller.Controller) {
+	if !c.CanBeReplaced() {
+		return
+	}
+	m := modeler.Member{ID: c.Member(), Address: p.node.LinkAddress}
+	_, err := p.relay.Call(ctx, &modeler.Call{Kind: modeler.LeaveCall, Member: &m})
+	p.report.Info("leave announced", "member", m.ID, "answer", classifier.KindOf(err).String())
+}
+
 // watchSettings reloads the seeds on SIGHUP and whenever those in the settings
 // file have changed.
 func (p *process) watchSettings(ctx context.Context) error {
--- a/modeler/flow.go
+++ b/modeler/flow.go
@@ -259,11 +259,12 @@
 	AnnounceCall
 	DepartCall
 	JoinCall
+	LeaveCall
 )
 
 var callNames = [...]string{
 	SubmitCall: "submit", CancelCall: "cancel", StateCall: "state", CountCall: "count", SetLayoutCall: "layout",
-	ReadLayoutCall: "read", AnnounceCall: "announce", DepartCall: "depart", JoinCall: "join",
+	ReadLayoutCall: "read", AnnounceCall: "announce", DepartCall: "depart", JoinCall: "join", LeaveCall: "leave",
 }
 
 // String returns the kind as metrics and log lines show it.
@@ -274,7 +275,7 @@
 	return "unknown"
 }
 
-// Call is an operation that a caller, an operator, a worker or a joining member
+// Call is an operation that a caller, an operator, a worker or a member
 // asks of the leader. Any process of the system accepts it and passes it on.
 type Call struct {
 	Kind CallKind `cbor:"1,keyasint"`
--- a/reconfigurer/reconfigurer.go
+++ b/reconfigurer/reconfigurer.go
@@ -104,8 +104,10 @@
 }
 
 // Next returns the next change of the members, or false if none is due. It must
-// be asked by a leader that holds its lease, with its status.
-func (p Policy) Next(now modeler.ClockReading, status replicator.Status) (Change, bool) {
+// be asked by a leader that holds its lease, with its status. Members that are
+// about to stop are listed in leaving; they may only restart, so they lose their
+// vote only to a learner.
+func (p Policy) Next(now modeler.ClockReading, status replicator.Status, leaving []modeler.MemberID) (Change, bool) {
 	members := status.Members
 	for _, m := range status.Progress {
 		if m.Member.Learner && now.Sub(m.SilentSince) > forgetAfter {
@@ -117,6 +119,7 @@
 		return remove(members, gone, "its host has come back without its disk"), true
 	}
 	silent, ready := p.silentVoters(now, status), readyLearners(status)
+	stopping := leavingVoters(status, leaving)
 	isEven := voters%2 == 0
 	switch {
 	case len(silent) > 0 && isEven && p.mayRemove(voters):
@@ -125,6 +128,8 @@
 		return promote(members, ready[0]), true
 	case len(silent) > 0 && len(ready) > 0 && !isEven:
 		return remove(members, silent[0], "the voter is silent, and a learner can take its place"), true
+	case len(stopping) > 0 && len(ready) > 0 && !isEven:
+		return remove(members, stopping[0], "the voter leaves, and a learner can take its place"), true
 	case len(silent) > 1 && !isEven && voters-2 >= p.fewestVoters():
 		return remove(members, silent[0], "several voters are silent"), true
 	case len(ready) > 1 && !isEven && voters+2 <= p.mostVoters() && voters-len(silent) >= Quorum(voters+1):
@@ -151,6 +156,17 @@
 	return ids
 }
 
+// leavingVoters returns the voters other than the leader that are about to stop.
+func leavingVoters(status replicator.Status, leaving []modeler.MemberID) []modeler.MemberID {
+	var voters []modeler.MemberID
+	for _, m := range status.Progress {
+		if !m.Member.Learner && slices.Contains(leaving, m.Member.ID) {
+			voters = append(voters, m.Member.ID)
+		}
+	}
+	return voters
+}
+
 // supersededVoter returns a voter whose host has lost its disk and come back as
 // another member at the same address, or 0.
 func supersededVoter(members modeler.Membership) modeler.MemberID {
--- a/reconfigurer/reconfigurer_test.go
+++ b/reconfigurer/reconfigurer_test.go
@@ -20,6 +20,8 @@
 	policy reconfigurer.Policy
 	status replicator.Status
 	silent map[modeler.MemberID]time.Duration
+	// leaving are the members that are about to stop.
+	leaving []modeler.MemberID
 }
 
 // newGroup returns a group led by its first voter, of which the last voters and
@@ -43,7 +45,7 @@
 		since := now.Add(-g.silent[m.ID])
 		g.status.Progress = append(g.status.Progress, replicator.Progress{Member: m, SilentSince: since, CaughtUp: m.Learner && g.silent[m.ID] == 0})
 	}
-	change, due := g.policy.Next(now, g.status)
+	change, due := g.policy.Next(now, g.status, g.leaving)
 	if due {
 		g.status.Members = change.Members
 	}
@@ -177,3 +179,21 @@
 	_, found := g.find(4)
 	assert.Assert(t, !found)
 }
+
+// Guards against a voter that stops although a learner waits, and counts until it
+// has been silent for long; and against one that only restarts and loses its vote
+// to nobody.
+func TestLeavingVoterIsReplacedAtOnce(t *testing.T) {
+	g := newGroup(1, 3, 0, 1, 0)
+	g.leaving = []modeler.MemberID{2}
+	g.settle(t)
+	_, found := g.find(2)
+	assert.Assert(t, !found)
+	voters, _, learners := g.count()
+	assert.Equal(t, voters, 3)
+	assert.Equal(t, learners, 0)
+
+	g = newGroup(1, 5, 0, 0, 0)
+	g.leaving = []modeler.MemberID{2}
+	assert.Assert(t, !g.next())
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -66,7 +66,7 @@
 	// start; 0 while a leader is reached.
 	lostAt atomic.Int64
 	// counts has the metrics of each kind of call.
-	counts       [modeler.JoinCall + 1]callCounts
+	counts       [modeler.LeaveCall + 1]callCounts
 	permitCounts callCounts
 	// ordersInFlight counts the orders that are being carried, and answers holds
 	// the answers to send to the leader.
--- a/replicator/replacement_test.go
+++ b/replicator/replacement_test.go
@@ -57,8 +57,10 @@
 	// places than tolerated were lost, and not all are back yet.
 	calmSince time.Duration
 	exceeded  bool
-	nextTick  time.Duration
-	nextJoin  time.Duration
+	// leaving are the hosts that have told the leader that they stop.
+	leaving  []modeler.MemberID
+	nextTick time.Duration
+	nextJoin time.Duration
 }
 
 func newSite(t *testing.T, seed uint64, size, tolerance int) *site {
@@ -118,7 +120,7 @@
 	if s.now >= s.nextTick {
 		s.nextTick = s.now + tickInterval
 		if leader := s.leaseHolder(); leader != nil && s.isRunning(leader) {
-			if change, due := s.policy.Next(s.reading(leader), leader.r.Status()); due {
+			if change, due := s.policy.Next(s.reading(leader), leader.r.Status(), s.leaving); due {
 				s.propose(leader, change)
 			}
 		}
@@ -249,11 +251,12 @@
 	// The successor has no place of its own until the old host has ended.
 	spare := &place{host: successor, lostUntil: p.lostUntil, diskLostUntil: p.diskLostUntil}
 	s.places = append(s.places, spare)
-	s.later(successorDelay, func() {
+	s.later(successorDelay+time.Duration(s.rng.Int64N(int64(catchUp-successorDelay))), func() {
 		if old.r != nil && old.r.Status().Role == replicator.Leader {
 			_ = s.transfer(old, 0)
 		}
-		s.later(600*time.Millisecond, func() {
+		s.leaving = append(s.leaving, old.id)
+		s.later(300*time.Millisecond, func() {
 			s.note("%d ends in order", old.id)
 			s.end(old)
 			p.host = spare.host
