--- a/cmd/goldcreststack/hosted.go
+++ b/cmd/goldcreststack/hosted.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -12,6 +13,9 @@
 	"goldcreststack.example/goldcreststack/reporter"
 )
 
+// flushTimeout bounds the wait of an ending process for a slow reader of its log.
+const flushTimeout = 200 * time.Millisecond
+
 func newHosted() *cobra.Command {
 	cmd := &cobra.Command{
 		Use:   "hosted",
@@ -27,10 +31,12 @@
 				if err != nil {
 					return err
 				}
+				out := reporter.NewAsyncWriter(os.Stdout)
+				defer out.Flush(flushTimeout)
 				return run(cmd.Context(), node, reporter.New(reporter.Options{
 					Role:  string(name),
 					Name:  node.Name,
-					Out:   reporter.NewAsyncWriter(os.Stdout),
+					Out:   out,
 					Level: reporter.Info,
 				}))
 			},
--- a/reporter/async.go
+++ b/reporter/async.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"sync/atomic"
+	"time"
 )
 
 // maxQueuedLines bounds the lines that wait when the log's reader is slow.
@@ -12,35 +13,68 @@
 // AsyncWriter is a writer of log lines that never blocks. If its queue is full, it
 // drops the line; the number of dropped lines is logged with the next write.
 type AsyncWriter struct {
-	lines   chan []byte
+	lines chan []byte
+	// flushes receives a channel that is closed when the queue is written.
+	flushes chan chan struct{}
 	dropped atomic.Int64
 }
 
 // NewAsyncWriter returns a writer that queues lines, which a goroutine writes to
 // out.
 func NewAsyncWriter(out io.Writer) *AsyncWriter {
-	a := &AsyncWriter{lines: make(chan []byte, maxQueuedLines)}
+	a := &AsyncWriter{lines: make(chan []byte, maxQueuedLines), flushes: make(chan chan struct{})}
 	go a.run(out)
 	return a
 }
 
 func (a *AsyncWriter) run(out io.Writer) {
-	for line := range a.lines {
-		// Combines the lines that are queued already into one write.
-	more:
-		for len(line) < batchBytes {
-			select {
-			case next := <-a.lines:
-				line = append(line, next...)
-			default:
-				break more
+	for {
+		select {
+		case line := <-a.lines:
+			a.writeBatch(out, line)
+		case done := <-a.flushes:
+			for len(a.lines) > 0 {
+				a.writeBatch(out, <-a.lines)
 			}
+			close(done)
 		}
-		if n := a.dropped.Swap(0); n > 0 {
-			line = fmt.Appendf(line, "{\"level\":\"warn\",\"message\":\"log lines dropped\",\"count\":%d}\n", n)
+	}
+}
+
+// writeBatch writes a line together with those that are queued already.
+func (a *AsyncWriter) writeBatch(out io.Writer, line []byte) {
+more:
+	for len(line) < batchBytes {
+		select {
+		case next := <-a.lines:
+			line = append(line, next...)
+		default:
+			break more
 		}
-		// There is nowhere to report a failure of the log itself.
-		_, _ = out.Write(line)
+	}
+	if n := a.dropped.Swap(0); n > 0 {
+		line = fmt.Appendf(line, "{\"level\":\"warn\",\"message\":\"log lines dropped\",\"count\":%d}\n", n)
+	}
+	// There is nowhere to report a failure of the log itself.
+	_, _ = out.Write(line)
+}
+
+// Flush waits until the lines that are queued are written; it reports false if
+// that takes longer than within. A process calls it before it ends.
+func (a *AsyncWriter) Flush(within time.Duration) bool {
+	timer := time.NewTimer(within)
+	defer timer.Stop()
+	done := make(chan struct{})
+	select {
+	case a.flushes <- done:
+	case <-timer.C:
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-timer.C:
+		return false
 	}
 }
 
--- a/reporter/reporter_test.go
+++ b/reporter/reporter_test.go
@@ -234,3 +234,37 @@
 		r.Info("request answered", reporter.FieldService, "s", reporter.FieldSpan, time.Second)
 	}
 }
+
+// slowReader takes a while for each write, like the reader of a process's log.
+type slowReader struct {
+	pause   time.Duration
+	written bytes.Buffer
+}
+
+func (s *slowReader) Write(p []byte) (int, error) {
+	time.Sleep(s.pause)
+	return s.written.Write(p)
+}
+
+// TestLastLinesAreWritten guards against a process that ends before the lines
+// about its end are written.
+func TestLastLinesAreWritten(t *testing.T) {
+	out := &slowReader{pause: 20 * time.Millisecond}
+	w := reporter.NewAsyncWriter(out)
+	for i := range 100 {
+		fmt.Fprintf(w, "line %d\n", i)
+	}
+	assert.Assert(t, w.Flush(5*time.Second))
+	assert.Assert(t, strings.HasSuffix(out.written.String(), "line 99\n"), out.written.String())
+	assert.Assert(t, w.Flush(5*time.Second), "nothing is queued")
+}
+
+// TestBlockedLogDoesNotKeepProcess guards against a process that can't end
+// because nobody reads its log.
+func TestBlockedLogDoesNotKeepProcess(t *testing.T) {
+	w := reporter.NewAsyncWriter(&slowReader{pause: time.Minute})
+	fmt.Fprintln(w, "line")
+	begun := time.Now()
+	assert.Assert(t, !w.Flush(50*time.Millisecond))
+	assert.Assert(t, time.Since(begun) < 5*time.Second)
+}
