--- a/controller/core.go
+++ b/controller/core.go
@@ -425,6 +425,8 @@
 	c.controller.settings.Report.Info("leadership begins", "term", term)
 	c.controller.settings.OnLeadership(true)
 	c.leader = newLeadership(c, now, term)
+	c.lastRefusal = ""
+	clear(c.refusals)
 	c.slotAllocator.Lead(now, term, c.state.Records().Sessions())
 	c.slotAllocator.SetLeaseEnd(c.log.LeaseEnd(now))
 	c.leader.broadcastConfiguration(now)
