Refuse tickets and reports that closing brackets follow

The decoder now has to find the end of the body.

TestTrailingDataIsRefused failed before, and passes now.

--- a/listener/listener.go
+++ b/listener/listener.go
@@ -115,16 +115,19 @@
 	decoder := json.NewDecoder(body)
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(target)
+	if err == nil {
+		if _, err = decoder.Token(); err == io.EOF {
+			return nil
+		}
+		if err == nil {
+			err = errors.New("something follows the document")
+		}
+	}
 	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
+	if errors.As(err, &tooLarge) {
 		return classifier.New(classifier.TooLarge, "the document is longer than %d bytes", tooLarge.Limit)
-	case err != nil:
-		return classifier.New(classifier.Malformed, "the document can't be read: %v", err)
-	case decoder.More():
-		return classifier.New(classifier.Malformed, "something follows the document")
 	}
-	return nil
+	return classifier.New(classifier.Malformed, "the document can't be read: %v", err)
 }
 
 func withRequestTimeout(c echo.Context) (context.Context, context.CancelFunc) {
