--- a/hoster/hoster_test.go
+++ b/hoster/hoster_test.go
@@ -230,6 +230,38 @@
 	assert.Assert(t, time.Since(stopTime) < killDelay, "ended after %s", time.Since(stopTime))
 }
 
+// Guards against a process whose servers stop one after the other, so that one of
+// them still accepts requests when the time for all of them is over, and the end of
+// the process cuts these off.
+func TestServersStopTogether(t *testing.T) {
+	const hosts, metricsPort = 24, "9464"
+	port := freePort(t)
+	var ended sync.WaitGroup
+	for n := range hosts {
+		_, stop := startProcess(t, imitator.Node{Name: fmt.Sprint("e", n), IP: ip(10 + n), Port: port, Seeds: []string{imitator.PortAddress(ip(3), port, 1)}, Entry: true})
+		var busy net.Conn
+		assert.Assert(t, eventually(startTimeout, func() bool {
+			conn, err := net.Dial("tcp", net.JoinHostPort(ip(10+n), metricsPort))
+			busy = conn
+			return err == nil
+		}))
+		defer busy.Close()
+		// The server waits for the rest of the request.
+		_, err := busy.Write([]byte("GET /metrics HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n"))
+		assert.NilError(t, err)
+		ended.Go(stop)
+	}
+	defer ended.Wait()
+	time.Sleep(3 * probeInterval)
+	for n := range hosts {
+		conn, err := net.Dial("tcp", imitator.PortAddress(ip(10+n), port, 1))
+		if err == nil {
+			_ = conn.Close()
+		}
+		assert.Check(t, err != nil, "host %d still accepts requests", n)
+	}
+}
+
 // Guards against a control process that goes on without its member of the group
 // after that has failed. The group has a member less for good then, since the
 // platform restarts only processes that have ended.
