Stop the servers of a process together

What callers could see: a request that an entry process accepts in the last moment before its end gets no answer.

Cause: the servers were stopped one after the other, in random order, under one time limit of 1.5 s. While a server waits for its last request, the ones after it accept requests as before. If that takes all of the time, such as a processor profile that an engineer has asked for during a restart, they are stopped without a wait, and the end of the process cuts their requests off.

Now all servers stop accepting at once, and wait for their requests in parallel.

--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -13,6 +13,7 @@
 	"runtime/debug"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -346,11 +347,15 @@
 		stopMember()
 		shutdownCtx, cancel := context.WithTimeout(serveCtx, shutdownTimeout)
 		defer cancel()
+		var stops sync.WaitGroup
 		for _, server := range servers {
-			if err := server.Shutdown(shutdownCtx); err != nil {
-				p.report.Warn("requests were cut off", "error", err)
-			}
+			stops.Go(func() {
+				if err := server.Shutdown(shutdownCtx); err != nil {
+					p.report.Warn("requests were cut off", "error", err)
+				}
+			})
 		}
+		stops.Wait()
 		stopServing()
 		return nil
 	})
