--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -150,6 +150,24 @@
 	assert.Equal(t, classifier.KindOf(err), classifier.ProposalLost)
 }
 
+// Guards against an answer of "not run" to a submission that a leader may have
+// accepted before the link was lost, when the leader refuses its repeat.
+func TestRefusedRepeatIsNotReportedAsNotRun(t *testing.T) {
+	for _, kind := range []classifier.Kind{classifier.QueueFull, classifier.UnknownService, classifier.StorageFull} {
+		first, second := newMember(t, 1), newMember(t, 2)
+		first.answer = func(*modeler.Message) *modeler.Message {
+			second.setLeading(2, true)
+			return nil
+		}
+		second.answer = replyWith(modeler.Reply{Result: modeler.Result{Kind: kind}})
+		r := newRelayer(t, nil, first, second)
+		first.setLeading(1, true)
+		waitFor(t, "the first leader", r.HasLeader)
+		_, err := r.Call(t.Context(), submit)
+		assert.Equal(t, classifier.KindOf(err).Answer().Outcome, classifier.OutcomeUnknown, kind.String())
+	}
+}
+
 // Guards against calls that wait long although no leader has been reached for
 // some time, and against an error of another kind than NoLeader.
 func TestRefusedWithoutLeader(t *testing.T) {
