Report the outcome of a refused repeat of a submission as unknown

What callers could see: 404 or 503, which say that the job never runs, for a job that then runs.

Cause: when the link to the leader is lost, an entry process sends a submission again. If the first sending was accepted, the repeat normally finds the job. But if the route was removed meanwhile, or the same leader has just begun to refuse new jobs and has not applied the first sending yet, the repeat is refused, and this refusal was passed on as it was. docs/errors.md says that a refusal after an attempt that may have run has the outcome unknown.

A refusal with the outcome "not run" after a lost sending of a submission now becomes proposal-lost (504), after which callers send the same id again.

TestRefusedRepeatIsNotReportedAsNotRun failed before, and passes now.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -222,6 +222,9 @@
 		case classifier.ProposalLost:
 			maybeSent = true
 		default:
+			if err != nil && maybeSent && mayHaveRun(call, err) {
+				return nil, classifier.Wrap(classifier.ProposalLost, err, "an earlier leader may have carried out the call")
+			}
 			return reply, err
 		}
 		if !r.awaitLeader(ctx, changed) {
@@ -234,6 +237,13 @@
 	return nil, classifier.New(classifier.NoLeader, "no leader was found in time")
 }
 
+// mayHaveRun reports whether a submission that was sent before may have been
+// accepted, although its repeat was refused. Other calls either change nothing, or
+// are refused only if the earlier one was refused too.
+func mayHaveRun(call *modeler.Call, refusal error) bool {
+	return call.Kind == modeler.SubmitCall && classifier.KindOf(refusal).Answer().Outcome == classifier.OutcomeNotRun
+}
+
 // timeLimit returns how long a call may take.
 func timeLimit(call *modeler.Call) time.Duration {
 	if call.Wait > 0 {
