Soak replaces control hosts, loses disks and cuts all power at the end

Cause: the soak killed, paused and cut processes that always came back with their disks at their addresses, and ended with calm.

Change: a second series of seeded faults runs beside the first one. Control hosts are killed for good (half of them without closing their connections) with an empty successor at another address after about a second, or stopped in order after their successor has come; disks are lost; seeds are turned over, with SIGHUP or without; entry processes are restarted in series. Right after an acknowledgement at the end, all control processes are killed, some come back without a disk and the others with torn logs, in some runs the entry processes too. allowance.go keeps the losses within what the users allow: a new or emptied host counts as lost for 4 s, and only storms of temporary faults go beyond. The operator's list lags by 3 s, and settings files name hosts of that list. Each caller keeps its own open connections.

Within 12 s of the last fault each entry process must accept a job, a configuration must be acknowledged, and the group must have no more voters than hosts and enough to lose as many as allowed. Then no process may show or serve an older configuration, and every accepted job must be known.

--- /dev/null
+++ b/soaker/allowance.go
@@ -0,0 +1,181 @@
+package soaker
+
+import "time"
+
+// catchUp is the time for which a host counts as lost after it has come back or its
+// successor has started, from the platform's pages.
+const catchUp = 4 * time.Second
+
+// lossTolerance returns how many of the given number of control hosts the users
+// allow to be lost at the same time.
+func lossTolerance(control int) int {
+	switch {
+	case control >= 9:
+		return 2
+	case control >= 3:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// loseFor marks the host as lost for the given time and the time to catch up.
+func (p *process) loseFor(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lostUntil = later(p.lostUntil, time.Now().Add(d+catchUp))
+}
+
+// isLost reports whether the host is down, disturbed or catching up.
+func (p *process) isLost() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.running || time.Now().Before(p.lostUntil)
+}
+
+// diskLoss counts the hosts of one slot that were lost for good or have lost their
+// disk and aren't made good.
+type diskLoss struct {
+	count int
+	// heir is the process that makes the losses good when it has caught up; nil
+	// before it is started.
+	heir *process
+}
+
+// slotLosses returns how many hosts of a slot count as lost; the caller holds the
+// lock.
+func (w *world) slotLosses(slot int) int {
+	count := 0
+	loss, p := w.diskLosses[slot], w.control[slot]
+	if loss != nil {
+		count = loss.count
+	}
+	isHeir := loss != nil && (loss.heir == nil || loss.heir == p)
+	if !isHeir && p.isLost() {
+		count++
+	}
+	return count
+}
+
+// otherLosses returns how many hosts of the other slots count as lost; the caller
+// holds the lock.
+func (w *world) otherLosses(slot int) int {
+	count := 0
+	for other := range w.control {
+		if other != slot {
+			count += w.slotLosses(other)
+		}
+	}
+	return count
+}
+
+// settleLosses removes the disk losses that are made good: the heir has caught up
+// while no more hosts were lost than the users allow. The caller holds the lock.
+func (w *world) settleLosses() {
+	for slot, loss := range w.diskLosses {
+		if loss.heir != nil && !loss.heir.isLost() && w.otherLosses(slot) < w.tolerance {
+			delete(w.diskLosses, slot)
+		}
+	}
+}
+
+// lossCount returns how many hosts count as lost.
+func (w *world) lossCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.settleLosses()
+	return w.otherLosses(-1)
+}
+
+// mayDisturb reports whether the host of the slot may be lost for a while. More
+// hosts than the users allow are lost in storms only.
+func (w *world) mayDisturb(slot int) bool {
+	if !w.settings.Replace || w.isStorm() {
+		return true
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.settleLosses()
+	lost := w.otherLosses(slot) + 1
+	if loss := w.diskLosses[slot]; loss != nil {
+		lost = w.otherLosses(slot) + loss.count
+		if loss.heir != nil && loss.heir != w.control[slot] {
+			lost++
+		}
+	}
+	return lost <= w.tolerance
+}
+
+// claimLoss reports whether a host of the slot may be lost for good or lose its
+// disk, and counts it as lost if so. Storms of temporary losses don't forbid it.
+func (w *world) claimLoss(slot int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.settleLosses()
+	disks := 0
+	for _, loss := range w.diskLosses {
+		disks += loss.count
+	}
+	lost := w.otherLosses(slot)
+	if loss := w.diskLosses[slot]; loss != nil {
+		lost += loss.count
+	}
+	if disks >= w.tolerance || lost >= w.tolerance && !w.isStorm() {
+		return false
+	}
+	if w.diskLosses[slot] == nil {
+		w.diskLosses[slot] = &diskLoss{}
+	}
+	w.diskLosses[slot].count++
+	w.diskLosses[slot].heir = nil
+	return true
+}
+
+// setHeir sets the process that makes the losses of a slot good.
+func (w *world) setHeir(slot int, p *process) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if loss := w.diskLosses[slot]; loss != nil {
+		loss.heir = p
+	}
+}
+
+// countsAsLost reports whether a disk loss of the slot isn't made good.
+func (w *world) countsAsLost(slot int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.settleLosses()
+	return w.diskLosses[slot] != nil
+}
+
+// isStorm reports whether temporary losses may exceed what the users allow.
+func (w *world) isStorm() bool {
+	now := time.Since(w.faultsBegan)
+	for _, s := range w.storms {
+		if now >= s.from && now < s.until {
+			return true
+		}
+	}
+	return false
+}
+
+// storm is a time during which temporary losses may exceed what the users allow,
+// counted from the first fault.
+type storm struct{ from, until time.Duration }
+
+const (
+	stormLength = 4 * time.Second
+	calmLength  = 12 * time.Second
+)
+
+// planStorms returns storms and calm times of random lengths.
+func (w *world) planStorms(length time.Duration) []storm {
+	var storms []storm
+	at := time.Duration(w.changes.Int64N(int64(calmLength)))
+	for at < length {
+		end := at + time.Duration(w.changes.Int64N(int64(stormLength)))
+		storms = append(storms, storm{at, end})
+		at = end + calmLength/2 + time.Duration(w.changes.Int64N(int64(calmLength)))
+	}
+	return storms
+}
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -77,37 +77,47 @@
 
 func (w *world) randomEntry() *process { return w.entries[rand.IntN(len(w.entries))] }
 
-// runCaller submits and watches jobs one after the other until ctx ends. Its HTTP
-// client reuses connections, as a real caller does.
+// runCaller submits and watches jobs one after the other until ctx ends. It keeps
+// using its open connections until the process at the other end is gone.
 func (w *world) runCaller(ctx context.Context) {
-	client := &http.Client{Timeout: answerTimeout}
+	client := w.newClient(answerTimeout)
 	for ctx.Err() == nil {
-		id := fmt.Sprintf("%016x", rand.Uint64())
-		spec := "spec " + id
-		w.check.mu.Lock()
-		w.check.jobs[id] = &job{spec: spec}
-		w.check.mu.Unlock()
-		if w.submitJob(client, id, spec) {
+		id := w.newJob()
+		if w.submitJob(client, id) {
 			w.watchJob(ctx, client, id)
 		}
 		w.sleep(time.Duration(50+rand.IntN(200)) * time.Millisecond)
 	}
 }
 
+// newJob registers a job that is to be submitted and returns its id.
+func (w *world) newJob() string {
+	id := fmt.Sprintf("%016x", rand.Uint64())
+	w.check.mu.Lock()
+	defer w.check.mu.Unlock()
+	w.check.jobs[id] = &job{spec: specOf(id)}
+	return id
+}
+
+// specOf returns the spec of the job with the id, and jobBody the body that submits
+// it.
+func specOf(id string) string { return "spec " + id }
+
+func jobBody(id string) string {
+	step := fmt.Sprintf(`{"count":%d,"cpu":%d,"mem_mb":%d,"estimated_ms":400`, tasksPerStep, taskCores, taskMemory)
+	return fmt.Sprintf(`{"spec":%q,"steps":[%s},%s,"after":[0]}]}`, specOf(id), step, step)
+}
+
 // submitJob submits a job, repeats the call after a refusal or no answer, and
 // reports whether the job was accepted. A job is marked as refused only if every
 // attempt got status 429 or 503.
-func (w *world) submitJob(client *http.Client, id, spec string) bool {
-	step := fmt.Sprintf(`{"count":%d,"cpu":%d,"mem_mb":%d,"estimated_ms":400`, tasksPerStep, taskCores, taskMemory)
-	body := fmt.Sprintf(`{"spec":%q,"steps":[%s},%s,"after":[0]}]}`, spec, step, step)
+func (w *world) submitJob(client *http.Client, id string) bool {
 	mayBeAccepted := false
 	for range submitAttempts {
-		status, _ := send(client, http.MethodPost, w.offsetAddress(w.randomEntry().host, 1), queuePath+id, body)
+		status, _ := send(client, http.MethodPost, w.offsetAddress(w.randomEntry().host, 1), queuePath+id, jobBody(id))
 		switch {
 		case status >= 200 && status < 300:
-			w.check.mu.Lock()
-			w.check.jobs[id].acceptedAt = time.Now()
-			w.check.mu.Unlock()
+			w.check.noteAccepted(id)
 			return true
 		case status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests:
 			mayBeAccepted = true
@@ -156,24 +166,34 @@
 // whether the job has completed or was cancelled.
 func (w *world) pollJob(client *http.Client, id string, p *process) bool {
 	sent := time.Now()
+	state := w.askState(client, id, p)
+	if state == "" {
+		return false
+	}
+	w.check.checkState(id, state, p.name, sent)
+	return state == "completed" || state == "cancelled"
+}
+
+// askState asks one process for a job's state: "gone" if it isn't known, and empty
+// without an answer that can be read.
+func (w *world) askState(client *http.Client, id string, p *process) string {
 	status, data := send(client, http.MethodGet, w.offsetAddress(p.host, 1), queuePath+id, "")
 	var answer struct {
 		State string `json:"state"`
 	}
 	switch {
 	case status == http.StatusGone:
-		answer.State = "gone"
+		return "gone"
 	case status != http.StatusOK || json.Unmarshal(data, &answer) != nil:
-		return false
+		return ""
 	}
-	w.check.checkState(id, answer.State, p.name, sent)
-	return answer.State == "completed" || answer.State == "cancelled"
+	return answer.State
 }
 
 // runOperator sends configurations with increasing versions and reads them back
 // three times after each.
 func (w *world) runOperator(ctx context.Context) {
-	client := &http.Client{Timeout: time.Second}
+	client := w.newClient(time.Second)
 	version := uint64(0)
 	for ctx.Err() == nil {
 		version++
@@ -185,8 +205,12 @@
 	}
 }
 
+// markerPath returns the path of a queue that only the given version of the
+// configuration has.
+func markerPath(version uint64) string { return fmt.Sprintf("/version-%d/", version) }
+
 func (w *world) applyConfiguration(ctx context.Context, client *http.Client, version uint64) {
-	body := imitator.Layout(version, queueHost, queuePath)
+	body := imitator.Layout(version, queueHost, queuePath, markerPath(version))
 	for ctx.Err() == nil {
 		status, _ := send(client, http.MethodPut, w.randomControl(), imitator.LayoutPath, body)
 		switch {
@@ -194,6 +218,7 @@
 			w.check.mu.Lock()
 			w.check.versions = append(w.check.versions, acknowledgement{version: version, at: time.Now()})
 			w.check.mu.Unlock()
+			w.check.noteAcknowledgement()
 			return
 		case status >= 400 && status < 500:
 			w.check.recordViolation("configuration %d was refused with %d", version, status)
@@ -204,26 +229,32 @@
 }
 
 func (w *world) readConfiguration(client *http.Client) {
-	p := w.randomControl()
+	w.readConfigurationAt(client, w.randomControl())
+}
+
+// readConfigurationAt reads the configuration at an address, checks its version, and
+// reports whether there was an answer.
+func (w *world) readConfigurationAt(client *http.Client, address string) bool {
 	sent := time.Now()
-	status, data := send(client, http.MethodGet, p, imitator.LayoutPath, "")
+	status, data := send(client, http.MethodGet, address, imitator.LayoutPath, "")
 	var answer struct {
 		Version uint64 `json:"version"`
 	}
 	if status != http.StatusOK {
-		return
+		return false
 	}
 	if err := json.Unmarshal(data, &answer); err != nil {
-		w.check.recordViolation("%s answers a read with what can't be read: %v", p, err)
-		return
+		w.check.recordViolation("%s answers a read with what can't be read: %v", address, err)
+		return false
 	}
-	w.check.checkVersion(answer.Version, sent, p)
+	w.check.checkVersion(answer.Version, sent, address)
+	return true
 }
 
 // awaitJobs waits until every accepted job has ended, then checks the metrics. Jobs
 // that are still open after settleTime are recorded as a violation.
 func (w *world) awaitJobs() {
-	client := &http.Client{Timeout: answerTimeout}
+	client := w.newClient(answerTimeout)
 	end := time.Now().Add(settleTime)
 	for {
 		unendedJobs := w.unendedJobs(client)
@@ -239,14 +270,11 @@
 	}
 }
 
-// metricsPort is the port of the metrics endpoint in the deploy file.
-const metricsPort = "9464"
-
 // checkMetrics reads the metrics of every process. Each process must answer, and
 // the histograms of calls, flow orders and syncs must appear on at least one.
 func (w *world) checkMetrics(client *http.Client) {
 	var metrics strings.Builder
-	for _, p := range append(w.control, w.entries...) {
+	for _, p := range w.processes() {
 		status, body := send(client, http.MethodGet, net.JoinHostPort(p.host, metricsPort), "/metrics", "")
 		if status != http.StatusOK && w.ctx.Err() == nil {
 			w.check.recordViolation("%s answers %d when asked for its metrics", p.name, status)
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -49,6 +49,9 @@
 	// faults lists the broken promises.
 	faults   []string
 	versions []acknowledgement
+	// acknowledged receives a value for each acknowledgement to a caller or to the
+	// operator, unless it holds one.
+	acknowledged chan struct{}
 }
 
 // acknowledgement is a configuration version and the time at which its
@@ -62,6 +65,27 @@
 	return &check{
 		jobs: make(map[string]*job), runningOn: make(map[string]string),
 		acknowledgedDone: make(map[string]bool), doneTasks: make(map[string]bool),
+		acknowledged: make(chan struct{}, 1),
+	}
+}
+
+// noteAcknowledgement wakes awaitAcknowledgement.
+func (c *check) noteAcknowledgement() {
+	select {
+	case c.acknowledged <- struct{}{}:
+	default:
+	}
+}
+
+// awaitAcknowledgement waits for the next acknowledgement, up to the given time.
+func (c *check) awaitAcknowledgement(limit time.Duration) {
+	select {
+	case <-c.acknowledged:
+	default:
+	}
+	select {
+	case <-c.acknowledged:
+	case <-time.After(limit):
 	}
 }
 
@@ -77,6 +101,45 @@
 	c.faults = append(c.faults, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
+// noteAccepted records that a job was accepted.
+func (c *check) noteAccepted(id string) {
+	c.mu.Lock()
+	c.jobs[id].acceptedAt = time.Now()
+	c.mu.Unlock()
+	c.noteAcknowledgement()
+}
+
+// acceptedSince returns the ids of the jobs that were accepted after the given time.
+func (c *check) acceptedSince(begun time.Time) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ids []string
+	for id, j := range c.jobs {
+		if j.acceptedAt.After(begun) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// hasAcknowledgedSince reports whether a configuration was acknowledged after the
+// given time.
+func (c *check) hasAcknowledgedSince(begun time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.versions) > 0 && c.versions[len(c.versions)-1].at.After(begun)
+}
+
+// newestVersion returns the newest acknowledged version, 0 if there is none.
+func (c *check) newestVersion() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.versions) == 0 {
+		return 0
+	}
+	return c.versions[len(c.versions)-1].version
+}
+
 // checkStart checks the start of a task on a worker and returns how long the task
 // is to run.
 func (c *check) checkStart(s *worker, order *imitator.Order) time.Duration {
--- /dev/null
+++ b/soaker/final.go
@@ -0,0 +1,108 @@
+package soaker
+
+import "time"
+
+const (
+	// maxPowerOff bounds the time for which all hosts are without power, beyond the
+	// restart delay.
+	maxPowerOff = 2 * time.Second
+	// acknowledgementWait bounds the wait for the acknowledgement that the final
+	// fault follows.
+	acknowledgementWait = 3 * time.Second
+	// caughtUpLimit bounds the wait for all hosts to have caught up: a stop in order,
+	// a restart, and the time to catch up.
+	caughtUpLimit = gracePeriod + time.Second + 2*catchUp
+	// maxTorn bounds the number of bytes that a torn write leaves in a log file.
+	maxTorn = 64
+)
+
+// finalFault is the last fault of a run, which comes right after an
+// acknowledgement.
+type finalFault struct {
+	// loseControl and loseEntries end all processes of a role at the same moment.
+	loseControl, loseEntries bool
+	// loseDisks makes as many control hosts as the users allow come back with an
+	// empty disk, among them the leader if aimed is set.
+	loseDisks, aimed bool
+	off              time.Duration
+	// slots is the order in which hosts are chosen.
+	slots []int
+	torn  [][]byte
+}
+
+// planFinalFault chooses the final fault by the random source.
+func (w *world) planFinalFault() finalFault {
+	kind := w.changes.IntN(8)
+	f := finalFault{
+		loseControl: kind == 1 || kind >= 4,
+		loseEntries: kind >= 6,
+		loseDisks:   kind >= 2,
+		aimed:       w.changes.IntN(2) == 0,
+		off:         time.Duration(w.changes.Int64N(int64(maxPowerOff))),
+		slots:       w.changes.Perm(w.settings.Control),
+	}
+	for range w.settings.Control {
+		torn := make([]byte, w.changes.IntN(maxTorn))
+		for i := range torn {
+			torn[i] = byte(w.changes.IntN(256))
+		}
+		f.torn = append(f.torn, torn)
+	}
+	return f
+}
+
+// injectFinalFault waits until all hosts have caught up, injects the final fault
+// right after an acknowledgement, and waits until all processes are back.
+func (w *world) injectFinalFault(f finalFault) {
+	w.awaitCaughtUp()
+	hosts := w.controlHosts()
+	if leader := w.leaderSlot(w.newClient(time.Second)); f.aimed && leader >= 0 {
+		f.slots = append([]int{leader}, f.slots...)
+	}
+	emptied := make(map[int]bool)
+	for _, slot := range f.slots {
+		if f.loseDisks && len(emptied) < w.tolerance {
+			emptied[slot] = true
+		}
+	}
+	w.check.awaitAcknowledgement(acknowledgementWait)
+	for slot, p := range hosts {
+		switch {
+		case emptied[slot]:
+			w.logFault("final fault: %s loses its power and its disk", p.name)
+			p.kill(f.off, func() { w.emptyDisk(p) })
+		case f.loseControl:
+			w.logFault("final fault: %s loses its power", p.name)
+			p.kill(f.off, func() { w.tearLog(p, f.torn[slot]) })
+		}
+	}
+	if f.loseEntries {
+		w.logFault("final fault: all entry processes lose their power")
+		for _, p := range w.entries {
+			p.kill(f.off, nil)
+		}
+	}
+	w.awaitRunning()
+}
+
+// awaitCaughtUp waits until no host counts as lost.
+func (w *world) awaitCaughtUp() {
+	for end := time.Now().Add(caughtUpLimit); w.ctx.Err() == nil; w.sleep(allowanceInterval) {
+		if w.lossCount() == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			w.check.recordViolation("control processes ended by themselves in the %v after the last fault", caughtUpLimit)
+			return
+		}
+	}
+}
+
+// awaitRunning waits until all processes run again.
+func (w *world) awaitRunning() {
+	for _, p := range w.processes() {
+		for !p.isRunning() && w.ctx.Err() == nil {
+			w.sleep(allowanceInterval)
+		}
+	}
+}
--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -15,10 +15,16 @@
 
 	mu    sync.Mutex
 	conns map[*pipe]bool
-	delay atomic.Int64
+	// abandoned has the connections from other hosts that are still open although
+	// the host at the target is gone.
+	abandoned []net.Conn
+	delay     atomic.Int64
 	// silenceNew makes new connections silent in both directions: they stay
 	// open and forward nothing.
 	silenceNew atomic.Bool
+	// vanished is set when the host at the target is gone without a trace: no
+	// connection gets an answer, a reset or an end any more.
+	vanished atomic.Bool
 }
 
 // pipe is one connection through the proxy.
@@ -50,6 +56,10 @@
 
 func (p *proxy) serve(client net.Conn) {
 	server, err := net.DialTimeout("tcp", p.target, time.Second)
+	if p.vanished.Load() {
+		p.abandon(client)
+		return
+	}
 	if err != nil {
 		reset(client)
 		return
@@ -74,6 +84,11 @@
 // copy forwards bytes in one direction until either connection is closed.
 func (p *proxy) copy(c *pipe, direction int, to, from net.Conn) {
 	defer func() {
+		if p.vanished.Load() {
+			p.abandon(c.client)
+			_ = c.server.Close()
+			return
+		}
 		_ = to.Close()
 		_ = from.Close()
 	}()
@@ -96,7 +111,7 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
+			if err != io.EOF && !p.vanished.Load() {
 				reset(to)
 			}
 			return
@@ -104,6 +119,13 @@
 	}
 }
 
+// abandon keeps a connection open without reading from it until the proxy closes.
+func (p *proxy) abandon(client net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.abandoned = append(p.abandoned, client)
+}
+
 // silenceCheckInterval is the time between two checks of whether a silenced
 // connection has been closed.
 const silenceCheckInterval = 50 * time.Millisecond
@@ -168,4 +190,9 @@
 func (p *proxy) close() {
 	_ = p.listener.Close()
 	p.resetAll()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.abandoned {
+		reset(c)
+	}
 }
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -24,10 +24,12 @@
 	entries = flag.Int("entries", 2, "number of entry processes")
 	folder  = flag.String("folder", "", "folder for settings, data and logs")
 	workers = flag.Int("workers", 6, "number of stand-in workers")
+	replace = flag.Bool("replace", true, "replace control hosts, with random seeds and with -seed")
+	lanes   = flag.Int("lanes", 4, "number of soaks to run side by side")
 )
 
-// keptSeeds are the seeds that CI runs: two that cover most kinds of faults, and
-// each seed that ever failed, with its cause.
+// keptSeeds are the seeds that CI runs without replacements of hosts: two that cover
+// most kinds of faults, and each seed that ever failed, with its cause.
 var keptSeeds = []uint64{
 	1, 2,
 	// The stand-in worker crashed again before the restart of its first crash
@@ -39,6 +41,18 @@
 	3966650880,
 }
 
+// keptReplacements are the seeds that CI runs with replacements of hosts, each with
+// the cause of its failure.
+var keptReplacements = []uint64{
+	// A host that was killed for good stayed a voter beside its successor, so the
+	// loss of the next one left two of four voters.
+	7,
+	// The same, with a lost disk among the voters that were left.
+	411166679,
+	// A host that was stopped for good stayed a voter beside its successor.
+	1633984649,
+}
+
 // knownRedSeeds are the seeds that fail for a cause that isn't fixed yet
 // (KNOWN-RED.txt).
 var knownRedSeeds = []uint64{
@@ -69,11 +83,33 @@
 	return binary
 }
 
+// soak runs the soak with one seed in each subtest, as many side by side as there
+// are lanes.
+type soak struct {
+	binary string
+	lanes  chan struct{}
+}
+
+func newSoak(t *testing.T) *soak {
+	return &soak{binary: buildBinary(t), lanes: make(chan struct{}, *lanes)}
+}
+
+func (k *soak) run(t *testing.T, replaces bool, seeds ...uint64) {
+	for _, s := range seeds {
+		t.Run(fmt.Sprint(s), func(t *testing.T) {
+			t.Parallel()
+			k.lanes <- struct{}{}
+			defer func() { <-k.lanes }()
+			k.runSeed(t, replaces, s)
+		})
+	}
+}
+
 // runSeed runs the soak with one seed and fails the test for each broken promise.
-func runSeed(t *testing.T, binary string, s uint64) {
+func (k *soak) runSeed(t *testing.T, replaces bool, s uint64) {
 	report, err := soaker.Run(t.Context(), soaker.Settings{
-		Seed: s, Length: *length, Binary: binary, Folder: testFolder(t),
-		Control: *control, Entries: *entries, Workers: *workers,
+		Seed: s, Length: *length, Binary: k.binary, Folder: testFolder(t),
+		Control: *control, Entries: *entries, Workers: *workers, Replace: replaces,
 	})
 	assert.NilError(t, err)
 	t.Logf("seed %d: %d jobs, %d starts, %d faults", s, report.Jobs, report.Starts, len(report.Faults))
@@ -91,25 +127,27 @@
 // Guards against broken promises to callers and workers while processes are
 // killed, paused and restarted, links are cut, and workers misbehave.
 func TestSoak(t *testing.T) {
-	binary := buildBinary(t)
-	chosen := keptSeeds
+	soak := newSoak(t)
 	if *seed != 0 {
-		chosen = []uint64{*seed}
+		soak.run(t, *replace, *seed)
+		return
 	}
+	soak.run(t, false, keptSeeds...)
 	for range *seeds {
-		chosen = append(chosen, rand.Uint64N(1<<32))
-	}
-	for _, s := range chosen {
-		t.Run(fmt.Sprint(s), func(t *testing.T) { runSeed(t, binary, s) })
+		soak.run(t, *replace, rand.Uint64N(1<<32))
 	}
 }
 
+// Guards against a group that stays without a leader, or loses what it has
+// acknowledged, after control hosts were replaced in series or have lost their
+// disks, and all hosts have lost their power.
+func TestSoakReplacements(t *testing.T) {
+	newSoak(t).run(t, true, keptReplacements...)
+}
+
 // Runs the seeds that are known to fail.
 func TestSoakRed(t *testing.T) {
-	binary := buildBinary(t)
-	for _, s := range knownRedSeeds {
-		t.Run(fmt.Sprint(s), func(t *testing.T) { runSeed(t, binary, s) })
-	}
+	newSoak(t).run(t, false, knownRedSeeds...)
 }
 
 // Guards against soaks that use each other's addresses: some ports of the
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -5,11 +5,10 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"os"
-	"os/exec"
-	"path/filepath"
+	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,6 +27,9 @@
 	Control int
 	Entries int
 	Workers int
+	// Replace adds replacements of control hosts, lost disks, other seeds and a
+	// final fault.
+	Replace bool
 }
 
 const (
@@ -47,38 +49,42 @@
 	Violations []string
 }
 
-// process is one control or entry process under test.
-type process struct {
-	name         string
-	role         string
-	host         string
-	settingsFile string
-	data         string
-	link         *proxy
-	mu           sync.Mutex
-	command      *exec.Cmd
-	ended        chan struct{}
-	// stopping is set at the end of the run, so that the process isn't
-	// restarted.
-	stopping bool
-}
-
 // world is the state of one soak run.
 type world struct {
 	settings Settings
-	random   *rand.Rand
-	ctx      context.Context
-	check    *check
-	network  *network
-	port     int
-	control  []*process
-	entries  []*process
-	workers  []*worker
+	// random chooses the temporary faults, and changes the series of changes and the
+	// final fault.
+	random  *rand.Rand
+	changes *rand.Rand
+	ctx     context.Context
+	check   *check
+	network *network
+	port    int
+	entries []*process
+	workers []*worker
 	// policy is the address of the stand-in policy.
 	policy string
 	// bootstrap is set until startupTime is over; processes that are started
 	// then may form a new group.
-	bootstrap bool
+	bootstrap atomic.Bool
+	// tolerance is the number of control hosts that may be lost at the same time.
+	tolerance   int
+	storms      []storm
+	faultsBegan time.Time
+	faultsEnded time.Time
+
+	mu sync.Mutex
+	// control has the current control process of each slot, and started all control
+	// processes so far.
+	control  []*process
+	started  []*process
+	listings []listing
+	// diskLosses has the slots with losses of hosts or disks that aren't made good.
+	diskLosses map[int]*diskLoss
+	// changing has the slots whose host is being changed.
+	changing map[int]bool
+	// hostCount is the number of control hosts that have existed.
+	hostCount int
 	// faults lists the injected faults.
 	faults []string
 }
@@ -89,12 +95,16 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	w := &world{
-		settings:  settings,
-		random:    rand.New(rand.NewPCG(settings.Seed, settings.Seed)),
-		ctx:       ctx,
-		check:     newCheck(),
-		bootstrap: true,
-	}
+		settings:   settings,
+		random:     rand.New(rand.NewPCG(settings.Seed, settings.Seed)),
+		changes:    rand.New(rand.NewPCG(settings.Seed, 0)),
+		ctx:        ctx,
+		check:      newCheck(),
+		tolerance:  lossTolerance(settings.Control),
+		changing:   make(map[int]bool),
+		diskLosses: make(map[int]*diskLoss),
+	}
+	w.bootstrap.Store(true)
 	var err error
 	if w.network, err = reserveNetwork(); err != nil {
 		return Report{}, err
@@ -112,18 +122,43 @@
 		callers.Go(func() { w.runCaller(running) })
 	}
 	w.sleep(startupTime)
-	w.bootstrap = false
-	w.injectFaults(settings.Length)
-	w.healAll()
-	w.sleep(3 * time.Second)
+	w.bootstrap.Store(false)
+	w.injectAllFaults(settings.Length)
+	recovered := w.awaitRecovery()
 	end()
 	callers.Wait()
-	w.awaitJobs()
+	if recovered {
+		w.checkEnd()
+		w.awaitJobs()
+	}
 	w.check.mu.Lock()
 	defer w.check.mu.Unlock()
 	return Report{Jobs: len(w.check.jobs), Starts: w.check.starts, Faults: w.faults, Violations: w.check.faults}, nil
 }
 
+// injectAllFaults injects temporary faults for the given time and, if the settings
+// ask for it, changes of hosts at the same time and the final fault after them. It
+// returns when all lasting faults have ended.
+func (w *world) injectAllFaults(length time.Duration) {
+	w.faultsBegan = time.Now()
+	if !w.settings.Replace {
+		w.injectFaults(length)
+		w.healAll()
+		return
+	}
+	w.storms = w.planStorms(length)
+	final := w.planFinalFault()
+	var series sync.WaitGroup
+	for range max(w.tolerance, 1) {
+		random := rand.New(rand.NewPCG(w.changes.Uint64(), 0))
+		series.Go(func() { w.changeHosts(length, random) })
+	}
+	w.injectFaults(length)
+	series.Wait()
+	w.healAll()
+	w.injectFinalFault(final)
+}
+
 func (w *world) sleep(d time.Duration) {
 	select {
 	case <-time.After(d):
@@ -158,13 +193,13 @@
 	if err := w.startPolicy(); err != nil {
 		return err
 	}
-	for i := range w.settings.Control {
-		p := &process{name: fmt.Sprintf("control-%d", i+1), role: "control", host: w.ip(advertisedAddress, i)}
-		p.data = filepath.Join(w.settings.Folder, p.name)
-		if p.link, err = newProxy(w.linkAddress(p.host), w.linkAddress(w.ip(bindAddress, i))); err != nil {
+	for range w.settings.Control {
+		p, err := w.newControl()
+		if err != nil {
 			return err
 		}
 		w.control = append(w.control, p)
+		w.addListing(p, 0)
 	}
 	for i := range w.settings.Entries {
 		p := &process{name: fmt.Sprintf("entry-%d", i+1), role: "entry", host: w.ip(entryAddress, i)}
@@ -177,7 +212,7 @@
 		}
 		w.workers = append(w.workers, s)
 	}
-	for _, p := range append(w.control, w.entries...) {
+	for _, p := range w.processes() {
 		if err := w.start(p); err != nil {
 			return err
 		}
@@ -192,110 +227,22 @@
 // port of links; callers and workers use such ports.
 func (w *world) offsetAddress(ip string, n int) string { return imitator.PortAddress(ip, w.port, n) }
 
-func (w *world) randomControl() string {
-	return w.offsetAddress(w.control[rand.IntN(len(w.control))].host, 1)
-}
-
-// start writes the settings file of a process and starts the process. It is
-// restarted whenever it ends, as the platform does.
-func (w *world) start(p *process) error {
-	var seeds []string
-	for _, c := range w.control[:min(3, len(w.control))] {
-		seeds = append(seeds, w.offsetAddress(c.host, 1))
-	}
-	node := imitator.Node{
-		Name: p.name, IP: p.host, Entry: p.role == "entry", Port: w.port, Seeds: seeds, Bootstrap: w.bootstrap,
-		DataFolder: p.data, PolicyAddress: w.policy, MaxLease: maxLease, MaxStopTime: stopTime,
-	}
-	data, err := node.Encode()
-	if err != nil {
-		return err
-	}
-	p.settingsFile = filepath.Join(w.settings.Folder, p.name+".json")
-	if err := os.WriteFile(p.settingsFile, data, 0o600); err != nil {
-		return err
-	}
-	return w.launch(p)
-}
-
-func (w *world) launch(p *process) error {
-	log, err := os.OpenFile(filepath.Join(w.settings.Folder, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
-	defer log.Close()
-	args := []string{"hosted", p.role}
-	if p.role == "control" {
-		args = append(args, "--bind", w.bindIP(p))
-	}
-	command := exec.Command(w.settings.Binary, args...)
-	command.Stdout, command.Stderr = log, log
-	command.Env = append(os.Environ(), imitator.NodeVariable+"="+p.settingsFile)
-	if err := command.Start(); err != nil {
-		return err
-	}
-	ended := make(chan struct{})
-	p.mu.Lock()
-	p.command, p.ended = command, ended
-	p.mu.Unlock()
-	go func() {
-		// The exit code of a killed process carries no information.
-		_ = command.Wait()
-		close(ended)
-		p.mu.Lock()
-		again := !p.stopping && w.ctx.Err() == nil
-		p.mu.Unlock()
-		if !again {
-			return
-		}
-		w.sleep(restartAfter)
-		if err := w.start(p); err != nil {
-			w.check.recordViolation("%s can't be started again: %v", p.name, err)
-		}
-	}()
-	return nil
-}
-
-// restartAfter is the platform's delay before it restarts an ended process.
-const restartAfter = 300 * time.Millisecond
-
-// bindIP returns the IP address that a control process binds behind its proxy.
-func (w *world) bindIP(p *process) string {
-	for i, c := range w.control {
-		if c == p {
-			return w.ip(bindAddress, i)
-		}
-	}
-	return ""
-}
-
-// signal sends a signal to the operating system process, if it has been started.
-func (p *process) signal(s syscall.Signal) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.command != nil && p.command.Process != nil {
-		// Signalling fails if the process has just ended; it is restarted anyway.
-		_ = p.command.Process.Signal(s)
-	}
+// newClient returns an HTTP client with connections of its own, which it keeps
+// open until the other side closes them.
+func (w *world) newClient(timeout time.Duration) *http.Client {
+	transport := &http.Transport{}
+	context.AfterFunc(w.ctx, transport.CloseIdleConnections)
+	return &http.Client{Timeout: timeout, Transport: transport}
 }
 
 // close kills every process that the soak has started and closes the proxies and
 // the stand-in workers.
 func (w *world) close() {
-	for _, p := range append(w.control, w.entries...) {
-		p.mu.Lock()
-		p.stopping = true
-		ended := p.ended
-		p.mu.Unlock()
-		p.signal(syscall.SIGCONT)
-		p.signal(syscall.SIGKILL)
-		if ended != nil {
-			<-ended
-		}
-		if p.link != nil {
-			p.link.close()
-		}
+	var ending sync.WaitGroup
+	for _, p := range append(w.started, w.entries...) {
+		ending.Go(func() { p.retire(syscall.SIGKILL) })
 	}
+	ending.Wait()
 	for _, s := range w.workers {
 		_ = s.server.Close()
 	}
--- a/soaker/worker.go
+++ b/soaker/worker.go
@@ -299,7 +299,7 @@
 // sendHeartbeats announces the worker to the control process that the last answer
 // named, or to a random one after a failure.
 func (s *worker) sendHeartbeats() {
-	client := &http.Client{Timeout: time.Second}
+	client := s.world.newClient(time.Second)
 	for s.world.ctx.Err() == nil {
 		s.mu.Lock()
 		s.sequence++
