--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -41,8 +41,8 @@
 	3966650880,
 }
 
-// keptReplacements are the seeds that CI runs with replacements of hosts, each with
-// the cause of its failure.
+// keptReplacements are the seeds that CI runs with replacements of hosts: those that
+// ever failed, with the cause.
 var keptReplacements = []uint64{
 	// A host that was killed for good stayed a voter beside its successor, so the
 	// loss of the next one left two of four voters.
