--- a/controller/core.go
+++ b/controller/core.go
@@ -38,6 +38,12 @@
 	reply func(modeler.Result)
 }
 
+// unwrittenSnapshot is a snapshot with the copy of the state that it will hold.
+type unwrittenSnapshot struct {
+	snapshot modeler.Snapshot
+	state    *applier.Copy
+}
+
 // core holds the state that only the core goroutine uses.
 type core struct {
 	controller       *Controller
@@ -66,6 +72,9 @@
 	// snapshot is the index of the newest snapshot.
 	snapshot         modeler.Index
 	isSavingSnapshot bool
+	// unwrittenSnapshot waits until the entries that it covers are on the disk;
+	// nil if there is none.
+	unwrittenSnapshot *unwrittenSnapshot
 	// bytesSinceSnapshot is the size of the log entries applied since the last
 	// snapshot, and bytesInSnapshot the part of it that the snapshot being saved
 	// covers.
@@ -78,6 +87,15 @@
 	// handOverDone is closed when a leadership transfer before a shutdown is
 	// over; nil if none is under way.
 	handOverDone chan struct{}
+
+	// lostElections is the number of lost elections that have been reported.
+	lostElections     uint64
+	lostElectionLimit repeatLimit
+	// refusals limits the lines about refused changes, for each member.
+	refusals map[modeler.MemberID]*repeatLimit
+	// lastRefusal says why the newest change of members was refused; empty after
+	// an accepted one.
+	lastRefusal string
 }
 
 func newCore(controller *Controller, saved replicator.Saved) (*core, error) {
@@ -88,6 +106,7 @@
 		pendingProposals: make(map[modeler.Index]proposal),
 		entryLinks:       make(map[modeler.EntrySession]*linker.Link),
 		entrySessions:    make(map[*linker.Link]modeler.EntrySession),
+		refusals:         make(map[modeler.MemberID]*repeatLimit),
 		snapshot:         saved.Snapshot.Index,
 		appliedTerm:      saved.Snapshot.Term,
 	}
@@ -162,6 +181,7 @@
 		c.log.Step(now, e.message)
 	case writeSynced:
 		c.log.Synced(now, e.write)
+		c.saveSnapshot(ctx)
 	case diskFullChanged:
 		c.diskFull = e.diskFull
 	case snapshotFinished:
@@ -255,8 +275,11 @@
 			return err
 		}
 	}
-	for i := range out.Messages {
-		c.controller.peers.send(&out.Messages[i])
+	if len(out.Messages) > 0 {
+		now := c.controller.now()
+		for i := range out.Messages {
+			c.controller.peers.send(now, &out.Messages[i])
+		}
 	}
 	if out.Snapshot != nil {
 		if err := c.installSnapshot(out.Snapshot); err != nil {
@@ -345,7 +368,7 @@
 
 // takeSnapshot starts a snapshot when enough entries or bytes have been applied
 // and no other snapshot is being saved. It copies the state here; another
-// goroutine encodes the copy.
+// goroutine encodes the copy and saves it.
 func (c *core) takeSnapshot(ctx context.Context) {
 	settings := &c.controller.settings
 	due := c.appliedIndex >= c.snapshot+settings.SnapshotEvery || c.bytesSinceSnapshot >= settings.SnapshotBytes
@@ -359,7 +382,20 @@
 		Term:       c.appliedTerm,
 		Membership: c.log.MembershipAt(c.appliedIndex),
 	}
-	go c.controller.saveSnapshot(ctx, s, c.state.Copy())
+	c.unwrittenSnapshot = &unwrittenSnapshot{snapshot: s, state: c.state.Copy()}
+	c.saveSnapshot(ctx)
+}
+
+// saveSnapshot saves the snapshot that was taken, once the entries that it covers
+// are on the disk. The store refuses entries that a saved snapshot covers, and a
+// commit doesn't wait for this member's disk.
+func (c *core) saveSnapshot(ctx context.Context) {
+	s := c.unwrittenSnapshot
+	if s == nil || c.log.Summary().Synced < s.snapshot.Index {
+		return
+	}
+	c.unwrittenSnapshot = nil
+	go c.controller.saveSnapshot(ctx, s.snapshot, s.state)
 }
 
 // propose appends a command to the log; reply is called with its result, if it
@@ -393,6 +429,7 @@
 			"last", status.Last, "commit", status.Commit)
 		c.role = status.Role
 	}
+	c.reportLostElection(now, &status.LostElection)
 	if c.leader != nil && (!leads || c.leader.term != status.Term) {
 		c.endLeadership()
 	}
--- a/controller/joining.go
+++ b/controller/joining.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"slices"
+
 	"goldcreststack.example/goldcreststack/classifier"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/reconfigurer"
@@ -35,9 +37,13 @@
 
 // proposeMembership proposes a change of the membership.
 func (c *core) proposeMembership(now modeler.ClockReading, change reconfigurer.Change) error {
-	if err := c.log.ChangeMembers(now, change.Members); err != nil {
-		return err
+	changed := modeler.Member{ID: change.Member}
+	for _, m := range slices.Concat(c.log.Summary().Members.Members, change.Members.Members) {
+		if m.ID == change.Member {
+			changed = m
+		}
 	}
-	c.controller.settings.Report.Info(changeEvents[change.Kind], "member", change.Member, "reason", change.Reason, "members", len(change.Members.Members))
-	return nil
+	err := c.log.ChangeMembers(now, change.Members)
+	c.reportChange(now, changeEvents[change.Kind], changed, err, "reason", change.Reason, "members", len(change.Members.Members))
+	return err
 }
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -51,6 +51,9 @@
 	shutdownTimeout = 1500 * time.Millisecond
 	// joinInterval is the time between two requests to join the group.
 	joinInterval = 300 * time.Millisecond
+	// joinReportInterval is the longest time between two lines about requests to
+	// join that get the same answer.
+	joinReportInterval = 5 * time.Second
 	// settingsPollInterval is the time between two reads of the settings file,
 	// which may change without a signal.
 	settingsPollInterval = 2 * time.Second
@@ -288,7 +291,8 @@
 
 // run serves the handlers until ctx ends. It then stops in this order: readiness
 // fails, an entry process waits drainDelay, the controller stops, the servers
-// finish their requests, the links close.
+// finish their requests, the links close. If a server or the controller fails, it
+// returns the error without waiting for requests.
 func (p *process) run(ctx context.Context, c *controller.Controller, handlers map[string]http.Handler) error {
 	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
@@ -333,6 +337,11 @@
 		select {
 		case <-ctx.Done():
 		case <-serveCtx.Done():
+			// A part of the process has failed. Without it the process must end, so
+			// that the platform starts it again.
+			for _, server := range servers {
+				_ = server.Close()
+			}
 			return nil
 		}
 		p.report.Info("process stops", "grace", p.node.GracePeriod.String())
@@ -362,11 +371,25 @@
 // joinGroup asks to be admitted to the group as long as the process is not a
 // member.
 func (p *process) joinGroup(ctx context.Context, c *controller.Controller) error {
+	// The process asks several times a second until it belongs to the group, so
+	// the same answer is logged once every joinReportInterval.
+	var begun, logged time.Time
+	lastAnswer, requests := "", 0
 	for {
-		if !c.Joined() {
+		if c.Joined() {
+			lastAnswer, requests = "", 0
+		} else {
 			m := modeler.Member{ID: c.Member(), Address: p.node.LinkAddress}
 			_, err := p.relay.Call(ctx, &modeler.Call{Kind: modeler.JoinCall, Member: &m})
-			p.report.Info("admission asked", "member", m.ID, "answer", classifier.KindOf(err).String())
+			now, answer := time.Now(), classifier.KindOf(err).String()
+			if requests == 0 {
+				begun = now
+			}
+			requests++
+			if answer != lastAnswer || now.Sub(logged) >= joinReportInterval {
+				lastAnswer, logged = answer, now
+				p.report.Info("admission asked", "member", m.ID, "answer", answer, "requests", requests, "since", now.Sub(begun).String())
+			}
 		}
 		select {
 		case <-time.After(joinInterval):
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -188,6 +188,8 @@
 	votesRequestedAt modeler.ClockReading
 	voteRound        uint64
 	grantedBy        []modeler.MemberID
+	refusedBy        []modeler.MemberID
+	lostElection     LostElection
 
 	// matched is the last entry known to equal the current leader's.
 	matched modeler.Index
@@ -385,6 +387,9 @@
 	case !r.isEligible():
 		return
 	case r.now >= r.electionDeadline:
+		if r.role != Follower {
+			r.recordLostElection()
+		}
 		r.resetElectionDeadline()
 		r.startPreVote()
 	case r.role != Follower && r.now.Sub(r.votesRequestedAt) >= r.cfg.Heartbeat/voteRequestsPerHeartbeat:
@@ -528,6 +533,9 @@
 	// LeaderContact is when a member that doesn't lead last answered a leader, or
 	// started.
 	LeaderContact modeler.ClockReading
+	// LostElection is the newest election that the member has started and not won.
+	// The caller must not change its lists.
+	LostElection LostElection
 	// Progress has an element for each other member on a leader, and is empty on
 	// the other roles.
 	Progress []Progress
@@ -563,5 +571,6 @@
 		Members: r.currentMembership(),
 
 		LeaderContact: r.answeredLeaderAt,
+		LostElection:  r.lostElection,
 	}
 }
