Tell the hosted processes of tests which losses are tolerated

The number of voters follows fault_tolerance and catch_up_s of the settings file. The imitator gave neither, so a group of nine in a test had at most five voters.

--- a/cmd/goldcreststack/replaced_test.go
+++ b/cmd/goldcreststack/replaced_test.go
@@ -58,6 +58,8 @@
 	network string
 	port    int
 	client  *http.Client
+	// tolerance is the number of control hosts that may be lost at the same time.
+	tolerance int
 	// controls are the control hosts that are not removed, the oldest first, and
 	// started counts all hosts.
 	controls []*host
@@ -71,9 +73,9 @@
 
 // newFleet starts the hosts of a new cell. It returns when the cell accepts
 // requests and the first loss is allowed.
-func newFleet(t *testing.T, size int) *fleet {
+func newFleet(t *testing.T, size, tolerance int) *fleet {
 	t.Parallel()
-	f := &fleet{t: t, folder: t.TempDir(), client: &http.Client{Timeout: time.Second}}
+	f := &fleet{t: t, folder: t.TempDir(), tolerance: tolerance, client: &http.Client{Timeout: time.Second}}
 	f.network = fmt.Sprintf("127.%d.%d.", 1+rand.IntN(254), rand.IntN(256))
 	free, err := net.Listen("tcp", f.network+"1:0")
 	assert.NilError(t, err)
@@ -107,6 +109,7 @@
 	h.node = imitator.Node{
 		Name: name, IP: f.network + fmt.Sprint(f.started), Entry: entry, Port: f.port,
 		DataFolder: filepath.Join(f.folder, name), MaxLease: 6 * time.Second, MaxStopTime: 400 * time.Millisecond,
+		Tolerance: f.tolerance, CatchUp: catchUp,
 	}
 	h.env = []string{imitator.NodeVariable + "=" + filepath.Join(f.folder, name+".json")}
 	f.t.Cleanup(func() {
@@ -119,6 +122,12 @@
 
 // start writes a settings file with the seeds and starts the process.
 func (f *fleet) start(h *host, seeds []*host) {
+	f.configure(h, seeds)
+	h.process.start()
+}
+
+// configure writes a settings file with the seeds.
+func (f *fleet) configure(h *host, seeds []*host) {
 	h.node.Seeds = nil
 	for _, seed := range seeds {
 		h.node.Seeds = append(h.node.Seeds, seed.address())
@@ -126,7 +135,6 @@
 	data, err := h.node.Encode()
 	assert.NilError(f.t, err)
 	assert.NilError(f.t, os.WriteFile(filepath.Join(f.folder, h.name+".json"), data, 0o600))
-	h.process.start()
 }
 
 // leader returns the control host that leads.
@@ -194,12 +202,17 @@
 	began := time.Now()
 	f.add(1, leader)
 	time.Sleep(time.Until(began.Add(replaceDelay)))
-	old.signal(syscall.SIGTERM)
-	assert.NilError(f.t, old.wait(gracePeriod))
-	f.remove(old)
+	f.stop(old)
 	time.Sleep(time.Until(began.Add(catchUp)))
 }
 
+// stop stops a host for good with SIGTERM.
+func (f *fleet) stop(h *host) {
+	h.signal(syscall.SIGTERM)
+	assert.NilError(f.t, h.wait(gracePeriod))
+	f.remove(h)
+}
+
 func (f *fleet) remove(h *host) {
 	f.controls = slices.DeleteFunc(f.controls, func(other *host) bool { return other == h })
 }
@@ -308,7 +321,7 @@
 
 // Guards against departed voters that count for good, so that further losses leave no quorum.
 func TestReplacedHostsOfFiveStopCounting(t *testing.T) {
-	f := newFleet(t, 5)
+	f := newFleet(t, 5, 1)
 	for range 4 {
 		leader := f.leader()
 		f.replaceLost(f.oldest(1, leader), leader)
@@ -319,7 +332,7 @@
 
 // Guards against departed voters that leave the smallest group without a quorum.
 func TestReplacedHostsOfThreeStopCounting(t *testing.T) {
-	f := newFleet(t, 3)
+	f := newFleet(t, 3, 1)
 	for range 4 {
 		leader := f.leader()
 		f.replaceLost(f.oldest(1, leader), leader)
@@ -330,7 +343,7 @@
 
 // Guards against departed voters that count for good when two hosts are lost at once.
 func TestReplacedPairsOfNineStopCounting(t *testing.T) {
-	f := newFleet(t, 9)
+	f := newFleet(t, 9, 2)
 	for range 4 {
 		leader := f.leader()
 		f.replaceLost(f.oldest(2, leader), leader)
@@ -343,7 +356,7 @@
 func TestReplacedLeadersStopCounting(t *testing.T) {
 	for _, size := range []int{3, 5} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
-			f := newFleet(t, size)
+			f := newFleet(t, size, 1)
 			for range 4 {
 				leader := f.leader()
 				f.replaceLost([]*host{leader}, leader)
@@ -358,7 +371,7 @@
 func TestPlannedReplacementsStopCounting(t *testing.T) {
 	for _, size := range []int{3, 5} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
-			f := newFleet(t, size)
+			f := newFleet(t, size, 1)
 			for range 4 {
 				leader := f.leader()
 				f.replacePlanned(f.oldest(1, leader)[0], leader)
