No change of members needs a voter that has just been lost

Of the voters 3, 4 and 5, 4 was lost a moment before 5 announced that it stops. The leader 3 removed 5; that change needed 3 and 4, was never committed, and blocked every further one. 5 was back at once, with a log that couldn't win.

Now the policy proposes a change only if a quorum of the voters after it has answered within half a second. Removing a voter that answers is the only change that this ever holds back: a promotion adds a member that answers, and the removal of a silent one doesn't raise the quorum.

TestNoChangeWithoutQuorum fails without the check.

--- a/reconfigurer/reconfigurer.go
+++ b/reconfigurer/reconfigurer.go
@@ -12,7 +12,10 @@
 const (
 	// forgetAfter is how long a learner may be silent before it is removed; one
 	// that comes back asks to be admitted again.
-	forgetAfter         = 10 * time.Second
+	forgetAfter = 10 * time.Second
+	// answerTimeout is how long ago a member that answers has answered, at most:
+	// a few heartbeats.
+	answerTimeout       = 500 * time.Millisecond
 	defaultTolerance    = 1
 	defaultReplaceAfter = 2 * time.Second
 )
@@ -108,6 +111,32 @@
 // about to stop are listed in leaving; they may only restart, so they lose their
 // vote only to a learner.
 func (p Policy) Next(now modeler.ClockReading, status replicator.Status, leaving []modeler.MemberID) (Change, bool) {
+	change, due := p.next(now, status, leaving)
+	if !due || !canCommit(now, status, change.Members) {
+		return Change{}, false
+	}
+	return change, true
+}
+
+// canCommit reports whether a quorum of the voters answers, the leader included:
+// a change that needs a member which has just been lost would block all further
+// ones.
+func canCommit(now modeler.ClockReading, status replicator.Status, members modeler.Membership) bool {
+	voters, answering := 0, 0
+	for _, m := range members.Members {
+		if m.Learner {
+			continue
+		}
+		voters++
+		at := slices.IndexFunc(status.Progress, func(p replicator.Progress) bool { return p.Member.ID == m.ID })
+		if at < 0 || now.Sub(status.Progress[at].SilentSince) <= answerTimeout {
+			answering++
+		}
+	}
+	return answering >= Quorum(voters)
+}
+
+func (p Policy) next(now modeler.ClockReading, status replicator.Status, leaving []modeler.MemberID) (Change, bool) {
 	members := status.Members
 	for _, m := range status.Progress {
 		if m.Member.Learner && now.Sub(m.SilentSince) > forgetAfter {
--- a/reconfigurer/reconfigurer_test.go
+++ b/reconfigurer/reconfigurer_test.go
@@ -200,3 +200,14 @@
 	g.leaving = []modeler.MemberID{2}
 	assert.Assert(t, !g.next())
 }
+
+// Guards against a change that can't be committed, since it needs a voter that has
+// been lost a moment ago; no further change would be possible.
+func TestNoChangeWithoutQuorum(t *testing.T) {
+	g := newGroup(1, 4, 0, 0, 0)
+	g.leaving = []modeler.MemberID{2}
+	g.silent[3], g.silent[4] = time.Second, time.Second
+	assert.Assert(t, !g.next())
+	g.silent[4] = 0
+	assert.Assert(t, g.next())
+}
