A voter that a new leader has never heard is replaced sooner

The lost voter kept its vote for 5.2 s, longer than the 4 s after which the next loss is allowed.

A living voter answers a new leader within a second. One that has not answered it at all was silent during the election too, so it is silent after half of the time.

TestVoterLostBeforeElectionIsReplacedSooner fails without the change; TestReplacedHostsKeepQuorum passes.

--- a/reconfigurer/reconfigurer.go
+++ b/reconfigurer/reconfigurer.go
@@ -172,11 +172,16 @@
 }
 
 // silentVoters returns the voters that have not answered for ReplaceAfter, the
-// longest silent one first.
+// longest silent one first. One that has not answered this leader at all was
+// silent during the election too, so half of the time is enough.
 func (p Policy) silentVoters(now modeler.ClockReading, status replicator.Status) []modeler.MemberID {
 	var silent []replicator.Progress
 	for _, m := range status.Progress {
-		if !m.Member.Learner && now.Sub(m.SilentSince) > p.ReplaceAfter {
+		limit := p.ReplaceAfter
+		if !m.Answered {
+			limit /= 2
+		}
+		if !m.Member.Learner && now.Sub(m.SilentSince) > limit {
 			silent = append(silent, m)
 		}
 	}
--- a/reconfigurer/reconfigurer_test.go
+++ b/reconfigurer/reconfigurer_test.go
@@ -20,6 +20,8 @@
 	policy reconfigurer.Policy
 	status replicator.Status
 	silent map[modeler.MemberID]time.Duration
+	// unheard says that the silent members have not answered this leader.
+	unheard bool
 	// leaving are the members that are about to stop.
 	leaving []modeler.MemberID
 }
@@ -43,7 +45,7 @@
 	g.status.Progress = nil
 	for _, m := range g.status.Members.Members[1:] {
 		since := now.Add(-g.silent[m.ID])
-		g.status.Progress = append(g.status.Progress, replicator.Progress{Member: m, SilentSince: since, CaughtUp: m.Learner && g.silent[m.ID] == 0})
+		g.status.Progress = append(g.status.Progress, replicator.Progress{Member: m, Answered: !g.unheard, SilentSince: since, CaughtUp: m.Learner && g.silent[m.ID] == 0})
 	}
 	change, due := g.policy.Next(now, g.status, g.leaving)
 	if due {
@@ -211,3 +213,13 @@
 	g.silent[4] = 0
 	assert.Assert(t, g.next())
 }
+
+// Guards against a voter that was lost before an election and counts for as long
+// after it as if it had been lost only then.
+func TestVoterLostBeforeElectionIsReplacedSooner(t *testing.T) {
+	g := newGroup(1, 5, 1, 1, 0)
+	g.silent[5] = 1500 * time.Millisecond
+	assert.Assert(t, !g.next())
+	g.unheard = true
+	assert.Assert(t, g.next())
+}
