--- a/cmd/goldcreststack/replaced_test.go
+++ b/cmd/goldcreststack/replaced_test.go
@@ -109,7 +109,7 @@
 	h.node = imitator.Node{
 		Name: name, IP: f.network + fmt.Sprint(f.started), Entry: entry, Port: f.port,
 		DataFolder: filepath.Join(f.folder, name), MaxLease: 6 * time.Second, MaxStopTime: 400 * time.Millisecond,
-		Tolerance: f.tolerance, CatchUp: catchUp,
+		LossTolerance: f.tolerance, CatchUp: catchUp,
 	}
 	h.env = []string{imitator.NodeVariable + "=" + filepath.Join(f.folder, name+".json")}
 	f.t.Cleanup(func() {
@@ -202,12 +202,13 @@
 	began := time.Now()
 	f.add(1, leader)
 	time.Sleep(time.Until(began.Add(replaceDelay)))
-	f.stop(old)
+	f.stopInOrder(old)
 	time.Sleep(time.Until(began.Add(catchUp)))
 }
 
-// stop stops a host for good with SIGTERM.
-func (f *fleet) stop(h *host) {
+// stopInOrder stops a host with SIGTERM for good.
+func (f *fleet) stopInOrder(h *host) {
+	f.t.Helper()
 	h.signal(syscall.SIGTERM)
 	assert.NilError(f.t, h.wait(gracePeriod))
 	f.remove(h)
@@ -381,3 +382,22 @@
 		})
 	}
 }
+
+// Guards against a host that was replaced in order and still counts when the next one is lost.
+func TestNextLossAfterPlannedReplacement(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	for _, leads := range []bool{false, true} {
+		leader := f.leader()
+		stopped := f.oldest(1, leader)[0]
+		if leads {
+			stopped = leader
+		}
+		began := time.Now()
+		f.add(1, leader)
+		time.Sleep(time.Until(began.Add(catchUp)))
+		f.stopInOrder(stopped)
+		leader = f.leader()
+		f.replaceLost(f.oldest(1, leader), leader)
+	}
+	f.checkAcknowledged()
+}
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -13,6 +13,7 @@
 	"runtime/debug"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -331,7 +332,7 @@
 	if c != nil {
 		p.relay.KeepLinks(serveCtx, []string{p.node.LinkAddress})
 		group.Go(func() error { return c.Run(memberCtx) })
-		group.Go(func() error { return p.joinGroup(serveCtx, c) })
+		group.Go(func() error { return p.joinGroup(memberCtx, c) })
 	}
 	group.Go(func() error {
 		select {
@@ -350,13 +351,20 @@
 			time.Sleep(drainDelay)
 		}
 		stopMember()
+		if c != nil {
+			p.leaveGroup(serveCtx, c)
+		}
 		shutdownCtx, cancel := context.WithTimeout(serveCtx, shutdownTimeout)
 		defer cancel()
+		var stops sync.WaitGroup
 		for _, server := range servers {
-			if err := server.Shutdown(shutdownCtx); err != nil {
-				p.report.Warn("requests were cut off", "error", err)
-			}
+			stops.Go(func() {
+				if err := server.Shutdown(shutdownCtx); err != nil {
+					p.report.Warn("requests were cut off", "error", err)
+				}
+			})
 		}
+		stops.Wait()
 		stopServing()
 		return nil
 	})
@@ -399,6 +407,18 @@
 	}
 }
 
+// leaveGroup tells the leader that the process stops, so that a waiting learner
+// takes its place. It isn't known whether the process is replaced or comes back;
+// without a learner its place is kept.
+func (p *process) leaveGroup(ctx context.Context, c *controller.Controller) {
+	if !c.CanBeReplaced() {
+		return
+	}
+	m := modeler.Member{ID: c.Member(), Address: p.node.LinkAddress}
+	_, err := p.relay.Call(ctx, &modeler.Call{Kind: modeler.LeaveCall, Member: &m})
+	p.report.Info("leave announced", "member", m.ID, "answer", classifier.KindOf(err).String())
+}
+
 // watchSettings reloads the seeds on SIGHUP and whenever those in the settings
 // file have changed.
 func (p *process) watchSettings(ctx context.Context) error {
