Test that members that have left are not dialled for good

Each entry and control process keeps a link to every address that a hello has named as a member, and to every former seed. A departed control host is dialled about once a second by each process until that process restarts. The cost grows with each replacement: one goroutine and one attempt a second per departed host and process.

The test gives the process 10 s to notice that the group no longer names the member.

--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -316,3 +318,34 @@
 	_, err = r.Call(ctx, &modeler.Call{Kind: modeler.StateCall, Wait: 3 * time.Second})
 	assert.NilError(t, err)
 }
+
+// Guards against dials for good to the addresses of members that have left the group.
+func TestDepartedMemberIsNotDialled(t *testing.T) {
+	departed, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer departed.Close()
+	var dials atomic.Int64
+	go func() {
+		for {
+			conn, err := departed.Accept()
+			if err != nil {
+				return
+			}
+			dials.Add(1)
+			_ = conn.Close()
+		}
+	}()
+	m := newMember(t, 1)
+	m.hello.Members = []string{m.address, departed.Addr().String()}
+	r := newRelayer(t, nil, m)
+	m.setLeading(1, true)
+	waitFor(t, "a dial to the member", func() bool { return r.HasLeader() && dials.Load() > 0 })
+	m.mu.Lock()
+	m.hello.Members = m.hello.Members[:1]
+	m.mu.Unlock()
+	m.setLeading(1, true)
+	time.Sleep(10 * time.Second)
+	before := dials.Load()
+	time.Sleep(3 * time.Second)
+	assert.Equal(t, dials.Load(), before)
+}
