--- a/controller/snapshot_test.go
+++ b/controller/snapshot_test.go
@@ -25,10 +25,11 @@
 
 // member is the only member of a group, with a link to it.
 type member struct {
-	t      *testing.T
-	folder string
-	link   *linker.Link
-	number modeler.TicketNumber
+	t       *testing.T
+	folder  string
+	address string
+	link    *linker.Link
+	number  modeler.TicketNumber
 }
 
 func startMember(t *testing.T, settings controller.Settings) *member {
@@ -47,9 +48,15 @@
 		stop()
 		assert.NilError(t, <-ended)
 	})
-	l, err := linker.Dial(ctx, settings.Advertise, modeler.Hello{Entry: "e", Incarnation: 1})
-	assert.NilError(t, err)
-	return &member{t: t, folder: settings.Folder, link: l}
+	m := &member{t: t, folder: settings.Folder, address: settings.Advertise}
+	m.dial()
+	return m
+}
+
+func (m *member) dial() {
+	l, err := linker.Dial(m.t.Context(), m.address, modeler.Hello{Entry: "e", Incarnation: 1})
+	assert.NilError(m.t, err)
+	m.link = l
 }
 
 // propose proposes count tickets whose notes have the given length, and waits
@@ -68,9 +75,14 @@
 
 func (m *member) accepted(ticket *modeler.Ticket) bool {
 	m.link.Send(&modeler.Message{Kind: modeler.ProposeMessage, Propose: &modeler.Command{Kind: modeler.ApplyTicket, Ticket: ticket}})
-	answer := <-m.link.Receive()
-	for answer.Kind != modeler.ProposalAnswerMessage {
-		answer = <-m.link.Receive()
+	answer, open := <-m.link.Receive()
+	for open && answer.Kind != modeler.ProposalAnswerMessage {
+		answer, open = <-m.link.Receive()
+	}
+	if !open {
+		// A link closes when the process has stood still for a second.
+		m.dial()
+		return false
 	}
 	result := answer.ProposalAnswer.Result
 	accepted := result.Kind == classifier.None
