The test of a lost disk asks after the former leader's lease

It asked as soon as the second member had stopped. A leader without a quorum still answers until its lease of 388 ms is over, so the test passed although the new member never became a voter (seen with that break, 1 of 1). It now waits for a second before it asks; with the break it fails.

--- a/controller/joining_test.go
+++ b/controller/joining_test.go
@@ -105,5 +105,7 @@
 	assert.Assert(t, admitted(ctx, r, fresh, catchUp), "the new member is not admitted")
 	time.Sleep(catchUp)
 	stops[1]()
+	// A leader without a quorum answers until its lease is over.
+	time.Sleep(time.Second)
 	assert.Assert(t, admitted(ctx, r, fresh, recovery), "the two members that are left have no leader")
 }
