The harness keeps the place of a successor when the old host ends

When an old host ended after its successor had been lost too, the harness dropped the successor's place with its loss: the host that replaced it asked nobody to be admitted, and the group counted as whole with one host fewer.

--- a/replicator/replacement_test.go
+++ b/replicator/replacement_test.go
@@ -248,9 +248,7 @@
 	successor := s.startEmpty(s.newAddress())
 	p.lostUntil = s.now + catchUp
 	p.diskLostUntil = p.lostUntil
-	// The successor has no place of its own until the old host has ended.
-	spare := &place{host: successor, lostUntil: p.lostUntil, diskLostUntil: p.diskLostUntil}
-	s.places = append(s.places, spare)
+	s.places = append(s.places, &place{host: successor, lostUntil: p.lostUntil, diskLostUntil: p.diskLostUntil})
 	s.later(successorDelay+time.Duration(s.rng.Int64N(int64(catchUp-successorDelay))), func() {
 		if old.r != nil && old.r.Status().Role == replicator.Leader {
 			_ = s.transfer(old, 0)
@@ -259,8 +257,8 @@
 		s.later(300*time.Millisecond, func() {
 			s.note("%d ends in order", old.id)
 			s.end(old)
-			p.host = spare.host
-			s.places = slices.DeleteFunc(s.places, func(other *place) bool { return other == spare })
+			// The successor's place may be lost by now.
+			s.places = slices.DeleteFunc(s.places, func(other *place) bool { return other == p })
 		})
 	})
 }
