Test that a leaving voter stays until its successor votes (red)

A host that is stopped in order while a learner waits loses its vote first, and the learner gets it at the leader's next tick. Between the two the group has one voter fewer and bears no loss: of three voters two are left, and if one of them is lost within these 100 ms, nobody is elected any more, although the host that leaves and the learner both have the whole log.

--- a/reconfigurer/reconfigurer_test.go
+++ b/reconfigurer/reconfigurer_test.go
@@ -197,3 +197,18 @@
 	g.leaving = []modeler.MemberID{2}
 	assert.Assert(t, !g.next())
 }
+
+// Guards against a voter that leaves and loses its vote before its successor votes, so that the loss of another one meanwhile leaves no quorum.
+func TestLeavingVoterStaysUntilItsSuccessorVotes(t *testing.T) {
+	for voters, tolerance := range map[int]int{3: 1, 5: 1, 9: 2} {
+		g := newGroup(tolerance, voters, 0, 1, 0)
+		g.leaving = []modeler.MemberID{2}
+		spare := voters - reconfigurer.Quorum(voters)
+		for g.next() {
+			count, _, _ := g.count()
+			assert.Assert(t, count-reconfigurer.Quorum(count) >= spare, "%d of %d losses are borne: %v", count-reconfigurer.Quorum(count), spare, g.status.Members.Members)
+		}
+		_, found := g.find(2)
+		assert.Assert(t, !found, "the voter that leaves still votes: %v", g.status.Members.Members)
+	}
+}
