Test that a stopping member is let go only after the exchange

Two voters were left, or three, of which one or two were gone:

03:26:25.886 control-2 member removed control-1: the voter leaves; voters 2 03:26:25.888 control-1 leave announced, answer none; process stopped 03:26:25.968 control-2 change of members refused: another change of members is not committed yet 03:26:26.028 control-2 member link lost control-3 03:26:27.580 control-2 election not won: needed 2, silent control-3; to the end

This test shows the cause without processes and without a race: when the announcement is confirmed, the learner votes and the member doesn't.

--- a/controller/replaced_test.go
+++ b/controller/replaced_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"goldcreststack.example/goldcreststack/classifier"
 	"goldcreststack.example/goldcreststack/follower"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/storer"
@@ -151,3 +152,22 @@
 	g.stops[departed]()
 	assert.Assert(t, g.join(34, g.members...), "no voter within %s: %+v", catchUp, g.status().Members)
 }
+
+// Guards against a stopping member that is let go before a learner has its vote, so that the next loss takes the quorum.
+func TestStoppingMemberIsLetGoAfterExchange(t *testing.T) {
+	g := startGroup(t)
+	_, _, stopping := g.awaitLeader()
+	assert.Assert(t, !g.join(33, g.members...), "a fourth voter weakens the group")
+	leave := &modeler.Call{Kind: modeler.LeaveCall, Member: &g.members[stopping]}
+	for end := time.Now().Add(recovery); ; time.Sleep(20 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "the member isn't let go")
+		m := g.ask(&modeler.Message{Kind: modeler.CallMessage, Call: leave})
+		if m.Reply != nil && m.Reply.Result.Kind == classifier.None {
+			break
+		}
+	}
+	members := g.status().Members
+	for _, m := range members {
+		assert.Check(t, m.Learner == (m.ID == g.members[stopping].ID), "%+v", members)
+	}
+}
