--- a/cmd/goldcreststack/replaced_test.go
+++ b/cmd/goldcreststack/replaced_test.go
@@ -172,15 +172,19 @@
 // more.
 func (f *fleet) add(n int, leader *host) {
 	f.t.Helper()
-	known := f.seeds(leader)
 	for range n {
-		h := f.newHost(false)
-		f.start(h, known)
-		f.controls = append(f.controls, h)
+		f.launch(leader)
 	}
 	f.accept(recovery)
 }
 
+// launch starts a new control host that knows the leader.
+func (f *fleet) launch(leader *host) {
+	h := f.newHost(false)
+	f.start(h, f.seeds(leader))
+	f.controls = append(f.controls, h)
+}
+
 // replaceLost kills hosts for good and adds as many after replaceDelay. It
 // returns when the next loss is allowed.
 func (f *fleet) replaceLost(lost []*host, leader *host) {
@@ -215,7 +219,7 @@
 }
 
 func (f *fleet) remove(h *host) {
-	f.controls = slices.DeleteFunc(f.controls, func(other *host) bool { return other == h })
+	f.controls = slices.DeleteFunc(slices.Clone(f.controls), func(other *host) bool { return other == h })
 }
 
 // checkLostDisks empties the data folders of hosts while all control processes are
