Processes stop dialling former control hosts

Each entry and control process dialled every control host that it had ever heard of, once a second for good: the client added the addresses of seeds and members and dropped none. With hosts that are replaced often, a process keeps a goroutine and a hanging connection attempt for each of them.

The client now ends the keepers of addresses that neither the settings nor the newest leader name. Without a leader it ends none, since any known address may lead to the next one, and members that name a later term count beside the leader. Seeds of the settings replace the former ones when they are reloaded.

--- a/follower/client.go
+++ b/follower/client.go
@@ -22,8 +22,10 @@
 	hellos       map[*linker.Link]modeler.Hello
 	// leaderChanged is closed when another leader is reached.
 	leaderChanged chan struct{}
-	// keptAddresses are the addresses that have a keeper.
-	keptAddresses []string
+	// fixed and seeds are the addresses given by KeepLinks and SetSeeds, and keepers
+	// has a function for each address with a keeper that ends it.
+	fixed, seeds []string
+	keepers      map[string]context.CancelFunc
 }
 
 // Hooks are functions that the client calls on the goroutines of its links;
@@ -50,31 +52,72 @@
 		hooks:        hooks,
 		pendingCalls: make(map[modeler.Sequence]*pendingCall),
 		hellos:       make(map[*linker.Link]modeler.Hello),
+		keepers:      make(map[string]context.CancelFunc),
 
 		leaderChanged: make(chan struct{}),
 	}
 }
 
-// KeepLinks starts a keeper for each address that has none yet.
+// KeepLinks keeps links to these addresses, and to the members that the processes
+// there name, until ctx ends.
 func (c *Client) KeepLinks(ctx context.Context, addresses []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, address := range addresses {
-		if slices.Contains(c.keptAddresses, address) {
-			continue
+	c.fixed = append(c.fixed, addresses...)
+	c.updateKeepers(ctx)
+}
+
+// SetSeeds is KeepLinks for addresses that replace those of its last call.
+func (c *Client) SetSeeds(ctx context.Context, addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeds = slices.Clone(addresses)
+	c.updateKeepers(ctx)
+}
+
+// updateKeepers starts a keeper for each wanted address that has none, and ends
+// those of former members and seeds. The leader says who the members are. Without
+// a leader no keeper is ended, since any of the addresses may lead to the next one.
+func (c *Client) updateKeepers(ctx context.Context) {
+	wanted := slices.Concat(c.fixed, c.seeds)
+	leader := c.leaderLocked()
+	for l, h := range c.hellos {
+		if leader == nil || l == leader || h.Term > c.hellos[leader].Term {
+			wanted = append(wanted, h.Members...)
 		}
-		c.keptAddresses = append(c.keptAddresses, address)
-		keeper := linker.Keeper{
-			Address: address,
-			Hello:   func() modeler.Hello { return c.hello },
-			OnLink:  c.serveLink,
+	}
+	for _, address := range wanted {
+		if c.keepers[address] == nil {
+			c.keepers[address] = c.startKeeper(ctx, address)
 		}
-		go keeper.Run(ctx)
 	}
+	if leader == nil {
+		return
+	}
+	for address, stop := range c.keepers {
+		if !slices.Contains(wanted, address) {
+			stop()
+			delete(c.keepers, address)
+		}
+	}
+}
+
+func (c *Client) startKeeper(ctx context.Context, address string) context.CancelFunc {
+	keeping, stop := context.WithCancel(ctx)
+	keeper := linker.Keeper{
+		Address: address,
+		Hello:   func() modeler.Hello { return c.hello },
+		OnLink: func(linked context.Context, l *linker.Link) {
+			// A keeper that another one has started must outlive it.
+			c.serveLink(ctx, linked, l)
+		},
+	}
+	go keeper.Run(keeping)
+	return stop
 }
 
-// serveLink handles the messages of one link until it closes.
-func (c *Client) serveLink(ctx context.Context, l *linker.Link) {
+// serveLink handles the messages of one link until it closes or linked ends.
+func (c *Client) serveLink(ctx, linked context.Context, l *linker.Link) {
 	c.handleHello(ctx, l, l.Peer)
 	defer c.handleLinkClosed(ctx, l)
 	for {
@@ -84,7 +127,7 @@
 				return
 			}
 			c.handleMessage(ctx, l, m)
-		case <-ctx.Done():
+		case <-linked.Done():
 			return
 		}
 	}
@@ -100,8 +143,8 @@
 		c.leaderChanged = make(chan struct{})
 		c.failCallsToOthers(l)
 	}
+	c.updateKeepers(ctx)
 	c.mu.Unlock()
-	c.KeepLinks(ctx, h.Members)
 	if h.IsLeader && c.hooks.LeaderUp != nil {
 		c.hooks.LeaderUp(ctx, h.Term)
 	}
@@ -128,16 +171,17 @@
 // handleLinkClosed fails the calls that wait on a closed link, and reports the
 // loss of the leader if the link led to it.
 func (c *Client) handleLinkClosed(ctx context.Context, l *linker.Link) {
-	if h := c.dropLink(l); h.IsLeader && c.hooks.LeaderDown != nil {
+	if h := c.dropLink(ctx, l); h.IsLeader && c.hooks.LeaderDown != nil {
 		c.hooks.LeaderDown(ctx, h.Term)
 	}
 }
 
-func (c *Client) dropLink(l *linker.Link) modeler.Hello {
+func (c *Client) dropLink(ctx context.Context, l *linker.Link) modeler.Hello {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h := c.hellos[l]
 	delete(c.hellos, l)
+	c.updateKeepers(ctx)
 	for sequence, pending := range c.pendingCalls {
 		if pending.link == l {
 			delete(c.pendingCalls, sequence)
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -324,7 +324,7 @@
 			return nil
 		})
 	}
-	p.relay.KeepLinks(serveCtx, p.node.Seeds)
+	p.relay.SetSeeds(serveCtx, p.node.Seeds)
 	group.Go(func() error { return p.relay.Run(serveCtx) })
 	group.Go(func() error { return p.watchSettings(serveCtx) })
 	memberCtx, stopMember := context.WithCancel(serveCtx)
@@ -445,7 +445,7 @@
 		if signalled || !slices.Equal(node.Seeds, seeds) {
 			p.report.Info("settings reloaded", "signal", signalled, "seeds", node.Seeds)
 			seeds = node.Seeds
-			p.relay.KeepLinks(ctx, seeds)
+			p.relay.SetSeeds(ctx, seeds)
 		}
 	}
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -136,6 +136,11 @@
 	r.client.KeepLinks(ctx, addresses)
 }
 
+// SetSeeds is KeepLinks for addresses that replace those of its last call.
+func (r *Relayer) SetSeeds(ctx context.Context, addresses []string) {
+	r.client.SetSeeds(ctx, addresses)
+}
+
 // HasLeader reports whether there is a link to a leader.
 func (r *Relayer) HasLeader() bool { return r.client.Leader() != nil }
 
