A departure that was not recorded is listed again

When the leader could not propose the departure of a silent worker (its disk was full, or a hand-over was under way that then failed), it logged "departed workers are not recorded" and never tried again. The worker stayed in the replicated state, so its announcements after its return changed nothing, and this leader counted it as ended: it got no work until another leader came.

The dispatcher now lists a worker that is gone and still in the state once a second.

--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -70,6 +70,9 @@
 	quarantineDivisor = 3
 	// lateStartPeriod is how long a start without an answer may still be delivered.
 	lateStartPeriod = 30 * time.Second
+	// departureRetryInterval is the time between two attempts to record that a
+	// worker has departed.
+	departureRetryInterval = time.Second
 )
 
 // attemptID identifies one attempt of a task.
@@ -123,6 +126,8 @@
 	startRepeated bool
 	// leaveAt is when a leaving worker will be gone.
 	leaveAt modeler.ClockReading
+	// departureSentAt is when the worker was last listed as departed, if it is gone.
+	departureSentAt modeler.ClockReading
 	// failureStreak counts the failures in a row that were each of another flow
 	// than the one before, which is lastFailedFlow.
 	failureStreak  int
@@ -307,16 +312,21 @@
 }
 
 // endWorker ends all attempts of a worker that has certainly ended.
-func (d *Dispatcher) endWorker(_ modeler.ClockReading, h *host, why string) {
+func (d *Dispatcher) endWorker(now modeler.ClockReading, h *host, why string) {
 	if !h.gone {
 		d.settings.Log("worker lost", "worker", h.worker.ID, "reason", why, "attempts", len(h.runs))
-		d.out.Departed = append(d.out.Departed, h.worker.ID)
+		d.listDeparture(now, h)
 	}
 	h.gone = true
 	d.endRunsAsLost(h)
 	d.releaseHeldBack(h)
 }
 
+func (d *Dispatcher) listDeparture(now modeler.ClockReading, h *host) {
+	h.departureSentAt = now
+	d.out.Departed = append(d.out.Departed, h.worker.ID)
+}
+
 func (d *Dispatcher) endRunsAsLost(h *host) {
 	for _, r := range h.runs {
 		if r.phase == committing {
@@ -741,6 +751,11 @@
 	if !h.gone && len(h.runs) == 0 && h.unanswered > 0 && d.heardBy(now).Sub(h.announcedAt) > maxAnnouncementAge {
 		d.endWorker(now, h, "it is silent")
 	}
+	if h.gone && now.Sub(h.departureSentAt) > departureRetryInterval {
+		// The departure was not recorded. Until it is, the announcements of the
+		// worker change nothing.
+		d.listDeparture(now, h)
+	}
 	for _, r := range h.runs {
 		d.tickRun(now, h, r)
 	}
