Soak empties the disk of a host while only paused hosts have the newest entries

Change: before the final fault, half of the seeds cut a minority of the control hosts off until something was acknowledged without them, then empty the disk of one of the others, pause the rest and heal the links. Whoever is elected then has forgotten entries.

--- a/soaker/allowance.go
+++ b/soaker/allowance.go
@@ -37,9 +37,9 @@
 // disk and aren't made good.
 type diskLoss struct {
 	count int
-	// heir is the process that makes the losses good when it has caught up; nil
+	// successor is the process that makes the losses good when it has caught up; nil
 	// before it is started.
-	heir *process
+	successor *process
 }
 
 // slotLosses returns how many hosts of a slot count as lost; the caller holds the
@@ -50,8 +50,8 @@
 	if loss != nil {
 		count = loss.count
 	}
-	isHeir := loss != nil && (loss.heir == nil || loss.heir == p)
-	if !isHeir && p.isLost() {
+	isSuccessor := loss != nil && (loss.successor == nil || loss.successor == p)
+	if !isSuccessor && p.isLost() {
 		count++
 	}
 	return count
@@ -69,11 +69,11 @@
 	return count
 }
 
-// settleLosses removes the disk losses that are made good: the heir has caught up
-// while no more hosts were lost than the users allow. The caller holds the lock.
+// settleLosses removes the disk losses that are made good: the successor has caught
+// up while no more hosts were lost than the users allow. The caller holds the lock.
 func (w *world) settleLosses() {
 	for slot, loss := range w.diskLosses {
-		if loss.heir != nil && !loss.heir.isLost() && w.otherLosses(slot) < w.tolerance {
+		if loss.successor != nil && !loss.successor.isLost() && w.otherLosses(slot) < w.tolerance {
 			delete(w.diskLosses, slot)
 		}
 	}
@@ -88,9 +88,9 @@
 }
 
 // mayDisturb reports whether the host of the slot may be lost for a while. More
-// hosts than the users allow are lost in storms only.
+// hosts than the users allow are lost in excess periods only.
 func (w *world) mayDisturb(slot int) bool {
-	if !w.settings.Replace || w.isStorm() {
+	if !w.settings.Replace || w.allowsExcess() {
 		return true
 	}
 	w.mu.Lock()
@@ -99,7 +99,7 @@
 	lost := w.otherLosses(slot) + 1
 	if loss := w.diskLosses[slot]; loss != nil {
 		lost = w.otherLosses(slot) + loss.count
-		if loss.heir != nil && loss.heir != w.control[slot] {
+		if loss.successor != nil && loss.successor != w.control[slot] {
 			lost++
 		}
 	}
@@ -107,7 +107,7 @@
 }
 
 // claimLoss reports whether a host of the slot may be lost for good or lose its
-// disk, and counts it as lost if so. Storms of temporary losses don't forbid it.
+// disk, and counts it as lost if so. Excess temporary losses don't forbid it.
 func (w *world) claimLoss(slot int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -120,23 +120,35 @@
 	if loss := w.diskLosses[slot]; loss != nil {
 		lost += loss.count
 	}
-	if disks >= w.tolerance || lost >= w.tolerance && !w.isStorm() {
+	if disks >= w.tolerance || lost >= w.tolerance && !w.allowsExcess() {
 		return false
 	}
+	w.addLoss(slot)
+	return true
+}
+
+// countLoss counts a host of the slot as lost for good or without its disk.
+func (w *world) countLoss(slot int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.addLoss(slot)
+}
+
+// addLoss is countLoss for a caller that holds the lock.
+func (w *world) addLoss(slot int) {
 	if w.diskLosses[slot] == nil {
 		w.diskLosses[slot] = &diskLoss{}
 	}
 	w.diskLosses[slot].count++
-	w.diskLosses[slot].heir = nil
-	return true
+	w.diskLosses[slot].successor = nil
 }
 
-// setHeir sets the process that makes the losses of a slot good.
-func (w *world) setHeir(slot int, p *process) {
+// setSuccessor sets the process that makes the losses of a slot good.
+func (w *world) setSuccessor(slot int, p *process) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if loss := w.diskLosses[slot]; loss != nil {
-		loss.heir = p
+		loss.successor = p
 	}
 }
 
@@ -148,10 +160,10 @@
 	return w.diskLosses[slot] != nil
 }
 
-// isStorm reports whether temporary losses may exceed what the users allow.
-func (w *world) isStorm() bool {
+// allowsExcess reports whether temporary losses may exceed what the users allow.
+func (w *world) allowsExcess() bool {
 	now := time.Since(w.faultsBegan)
-	for _, s := range w.storms {
+	for _, s := range w.excessPeriods {
 		if now >= s.from && now < s.until {
 			return true
 		}
@@ -159,23 +171,25 @@
 	return false
 }
 
-// storm is a time during which temporary losses may exceed what the users allow,
+// period is a time during which temporary losses may exceed what the users allow,
 // counted from the first fault.
-type storm struct{ from, until time.Duration }
+type period struct{ from, until time.Duration }
 
+// excessLength and calmLength bound the lengths of excess periods and of the times
+// between them.
 const (
-	stormLength = 4 * time.Second
-	calmLength  = 12 * time.Second
+	excessLength = 4 * time.Second
+	calmLength   = 12 * time.Second
 )
 
-// planStorms returns storms and calm times of random lengths.
-func (w *world) planStorms(length time.Duration) []storm {
-	var storms []storm
+// planExcess returns excess periods at random times.
+func (w *world) planExcess(length time.Duration) []period {
+	var periods []period
 	at := time.Duration(w.changes.Int64N(int64(calmLength)))
 	for at < length {
-		end := at + time.Duration(w.changes.Int64N(int64(stormLength)))
-		storms = append(storms, storm{at, end})
+		end := at + time.Duration(w.changes.Int64N(int64(excessLength)))
+		periods = append(periods, period{at, end})
 		at = end + calmLength/2 + time.Duration(w.changes.Int64N(int64(calmLength)))
 	}
-	return storms
+	return periods
 }
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -129,7 +129,7 @@
 // appends random bytes to its newest log file.
 func (w *world) killAllOrTearLog(hosts []*process) {
 	if w.random.IntN(2) == 0 {
-		if w.settings.Replace && !w.isStorm() {
+		if w.settings.Replace && !w.allowsExcess() {
 			return
 		}
 		w.logFault("kill all control processes")
--- a/soaker/replacing.go
+++ b/soaker/replacing.go
@@ -25,9 +25,9 @@
 	allowanceInterval = 50 * time.Millisecond
 )
 
-// changeHosts replaces control hosts, loses disks and turns seeds over, one after
-// the other for the given time. A series for each host that may be lost at the same
-// time runs in a goroutine of its own.
+// changeHosts replaces control hosts, empties disks, changes seeds and restarts entry
+// processes, one after the other for the given time. A series for each host that may
+// be lost at the same time runs in a goroutine of its own.
 func (w *world) changeHosts(length time.Duration, random *rand.Rand) {
 	client := w.newClient(time.Second)
 	end := time.Now().Add(length)
@@ -45,7 +45,7 @@
 	overlap := time.Duration(random.Int64N(int64(maxOverlap)))
 	switch kind {
 	case 0:
-		w.turnSeedsOver(random)
+		w.changeSeeds(random)
 		return
 	case 1:
 		w.restartEntries(random)
@@ -128,7 +128,7 @@
 	}
 	w.logFault("%s takes the place of %s", successor.name, former.name)
 	w.setHost(slot, successor)
-	w.setHeir(slot, successor)
+	w.setSuccessor(slot, successor)
 	return true
 }
 
@@ -144,7 +144,7 @@
 		w.check.recordViolation("a control host can't be added: %v", err)
 		return
 	}
-	w.setHeir(slot, successor)
+	w.setSuccessor(slot, successor)
 	former := w.controlHosts()[slot]
 	w.logFault("%s is to take the place of %s", successor.name, former.name)
 	w.sleep(overlap)
@@ -154,7 +154,7 @@
 	w.logFault("stop %s for good", former.name)
 	w.endListing(former)
 	w.setHost(slot, successor)
-	w.setHeir(slot, successor)
+	w.setSuccessor(slot, successor)
 	former.retire(syscall.SIGTERM)
 }
 
@@ -177,7 +177,7 @@
 	p := w.controlHosts()[slot]
 	w.logFault("kill %s and empty its disk", p.name)
 	p.kill(0, func() { w.emptyDisk(p) })
-	w.setHeir(slot, p)
+	w.setSuccessor(slot, p)
 }
 
 func (w *world) emptyDisk(p *process) {
@@ -186,9 +186,9 @@
 	}
 }
 
-// turnSeedsOver writes other seeds to the settings files of the processes, and
+// changeSeeds writes other seeds to the settings files of the processes, and
 // sends SIGHUP to some of them.
-func (w *world) turnSeedsOver(random *rand.Rand) {
+func (w *world) changeSeeds(random *rand.Rand) {
 	signalled := 0
 	for _, p := range w.processes() {
 		hasSignal := random.IntN(2) == 0
@@ -203,7 +203,7 @@
 			signalled++
 		}
 	}
-	w.logFault("turn the seeds over, with %d signals", signalled)
+	w.logFault("change the seeds, with %d signals", signalled)
 }
 
 // restartEntries stops the entry processes in order, one shortly after the other.
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -17,15 +17,15 @@
 )
 
 var (
-	seeds   = flag.Int("seeds", 0, "number of random seeds to run besides the kept ones")
-	seed    = flag.Uint64("seed", 0, "run only this seed")
-	length  = flag.Duration("length", 12*time.Second, "time during which faults are injected")
-	control = flag.Int("control", 3, "number of control processes")
-	entries = flag.Int("entries", 2, "number of entry processes")
-	folder  = flag.String("folder", "", "folder for settings, data and logs")
-	workers = flag.Int("workers", 6, "number of stand-in workers")
-	replace = flag.Bool("replace", true, "replace control hosts, with random seeds and with -seed")
-	lanes   = flag.Int("lanes", 4, "number of soaks to run side by side")
+	seeds       = flag.Int("seeds", 0, "number of random seeds to run besides the kept ones")
+	seed        = flag.Uint64("seed", 0, "run only this seed")
+	length      = flag.Duration("length", 12*time.Second, "time during which faults are injected")
+	control     = flag.Int("control", 3, "number of control processes")
+	entries     = flag.Int("entries", 2, "number of entry processes")
+	folder      = flag.String("folder", "", "folder for settings, data and logs")
+	workers     = flag.Int("workers", 6, "number of stand-in workers")
+	replace     = flag.Bool("replace", true, "replace control hosts, with random seeds and with -seed")
+	concurrency = flag.Int("concurrency", 4, "number of soaks to run side by side")
 )
 
 // keptSeeds are the seeds that CI runs without replacements of hosts: two that cover
@@ -107,23 +107,23 @@
 	return binary
 }
 
-// soak runs the soak with one seed in each subtest, as many side by side as there
-// are lanes.
+// soak runs the soak with one seed in each subtest, and up to concurrency of them
+// side by side.
 type soak struct {
-	binary string
-	lanes  chan struct{}
+	binary  string
+	running chan struct{}
 }
 
 func newSoak(t *testing.T) *soak {
-	return &soak{binary: buildBinary(t), lanes: make(chan struct{}, *lanes)}
+	return &soak{binary: buildBinary(t), running: make(chan struct{}, *concurrency)}
 }
 
 func (k *soak) run(t *testing.T, replaces bool, length time.Duration, seeds ...uint64) {
 	for _, s := range seeds {
 		t.Run(fmt.Sprint(s), func(t *testing.T) {
 			t.Parallel()
-			k.lanes <- struct{}{}
-			defer func() { <-k.lanes }()
+			k.running <- struct{}{}
+			defer func() { <-k.running }()
 			k.runSeed(t, replaces, length, s)
 		})
 	}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -68,10 +68,12 @@
 	// then may form a new group.
 	bootstrap atomic.Bool
 	// tolerance is the number of control hosts that may be lost at the same time.
-	tolerance   int
-	storms      []storm
-	faultsBegan time.Time
-	faultsEnded time.Time
+	tolerance int
+	// excessPeriods are the times during which temporary losses may exceed what the
+	// users allow, counted from faultsBegan.
+	excessPeriods []period
+	faultsBegan   time.Time
+	faultsEnded   time.Time
 
 	mu sync.Mutex
 	// control has the current control process of each slot, and started all control
@@ -146,7 +148,7 @@
 		w.healAll()
 		return
 	}
-	w.storms = w.planStorms(length)
+	w.excessPeriods = w.planExcess(length)
 	final := w.planFinalFault()
 	var series sync.WaitGroup
 	for range max(w.tolerance, 1) {
@@ -156,6 +158,9 @@
 	w.injectFaults(length)
 	series.Wait()
 	w.healAll()
+	if random := rand.New(rand.NewPCG(w.settings.Seed, 1)); random.IntN(2) == 0 {
+		w.loseNewest(random)
+	}
 	w.injectFinalFault(final)
 }
 
