--- a/soaker/check.go
+++ b/soaker/check.go
@@ -31,6 +31,8 @@
 	// refused is set when every attempt to submit the job was refused.
 	refused    bool
 	finalState string
+	// lost is set once a process doesn't know the job any more.
+	lost bool
 }
 
 // check records what callers, operators and workers observe and compares it with
@@ -220,6 +222,10 @@
 	}
 	switch {
 	case state == "gone" && sent.Sub(j.acceptedAt) > cancelLimit:
+		if j.lost {
+			return
+		}
+		j.lost = true
 		c.addViolation("%s does not know job %s, accepted %v before", from, id, sent.Sub(j.acceptedAt))
 	case state == "cancelled" && !j.cancelSent, state == "failed":
 		c.addViolation("%s shows job %s as %s without a cause", from, id, state)
