Serve requests that have arrived before an HTTP server stops

Cause: http.Server.Shutdown closes the listener, which resets the connections that wait to be accepted, and closes connections that it takes for idle, although a request waits in the socket or is read in part. A process that the host doesn't run for a while reaches the end of its drain delay with such requests.

Ruled out: the worker and the router; the requests were never read.

Change: before Shutdown, forwarder and hoster wait until no connection waits to be accepted and no request has begun to arrive that isn't served yet, for at most half of the time that they have left.

--- a/cmd/goldcreststack/entry_test.go
+++ b/cmd/goldcreststack/entry_test.go
@@ -1,11 +1,14 @@
 package main_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -109,6 +112,85 @@
 	assert.Assert(t, served.Load() > 1000)
 }
 
+// keepAliveConn is a caller's connection to an entry host that stays open between
+// requests.
+type keepAliveConn struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (s *system) dialEntry(entryAddress string) *keepAliveConn {
+	s.t.Helper()
+	conn, err := net.Dial("tcp", entryAddress)
+	assert.NilError(s.t, err)
+	s.t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(s.t, conn.SetDeadline(time.Now().Add(startTimeout)))
+	return &keepAliveConn{Conn: conn, reader: bufio.NewReader(conn)}
+}
+
+func (c *keepAliveConn) send(service, text string) error {
+	_, err := fmt.Fprintf(c, "POST /v1/services/%s/x HTTP/1.1\r\nHost: front\r\nContent-Length: %d\r\n\r\n%s", service, len(text), text)
+	return err
+}
+
+// receive reads an answer and returns an error unless it is a worker's answer to
+// the text.
+func (c *keepAliveConn) receive(text string) error {
+	answer, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	if err == nil && (answer.StatusCode != http.StatusOK || !bytes.Contains(body, []byte(worker.DigestOf([]byte(text))))) {
+		err = fmt.Errorf("status %d %s", answer.StatusCode, body)
+	}
+	return err
+}
+
+// Guards against a graceful shutdown that cuts off requests which have arrived, on
+// new or on open connections, but which a busy host hasn't read yet. The process is
+// paused so that it reads them only when the drain delay is over.
+func TestShutdownServesUnreadRequests(t *testing.T) {
+	shape := kitahama
+	shape.drainDelay = 2 * time.Second
+	s := newSystem(t, shape, 1, 1, 2)
+	entry, entryAddress := s.entries[0], s.entryAddresses[0]
+	var conns []*keepAliveConn
+	for range 8 {
+		conn := s.dialEntry(entryAddress)
+		assert.NilError(t, conn.send(s.shape.service, "first"))
+		assert.NilError(t, conn.receive("first"))
+		conns = append(conns, conn)
+	}
+	stopTime := time.Now()
+	entry.signal(syscall.SIGTERM)
+	s.await(shape.drainDelay, "readiness fails", func() error {
+		if s.check(entryAddress, "/readyz") == nil {
+			return errors.New("ready")
+		}
+		return nil
+	})
+	entry.suspend()
+	for range 8 {
+		conns = append(conns, s.dialEntry(entryAddress))
+	}
+	for i, conn := range conns {
+		assert.NilError(t, conn.send(s.shape.service, fmt.Sprint(i)))
+	}
+	time.Sleep(time.Until(stopTime.Add(shape.drainDelay + 100*time.Millisecond)))
+	entry.signal(syscall.SIGCONT)
+	failed := 0
+	for i, conn := range conns {
+		if err := conn.receive(fmt.Sprint(i)); err != nil {
+			failed++
+			t.Logf("connection %d: %v", i, err)
+		}
+	}
+	assert.Equal(t, failed, 0)
+	assert.NilError(t, entry.wait(startTimeout), "a drained entry host ends without an error")
+}
+
 // Guards against a second run of a request that must not be repeated. Callers
 // resend each key through other entry hosts while entry hosts and control
 // processes are killed and restarted or paused at random.
--- a/cmd/goldcreststack/system_test.go
+++ b/cmd/goldcreststack/system_test.go
@@ -66,6 +66,9 @@
 	flags func(worker int) []string
 	// cores returns the number of cores of a worker; nil means 32.
 	cores func(worker int) int
+	// drainDelay is how long a stopping entry host fails its readiness check
+	// before it stops listening; 0 means 200 ms.
+	drainDelay time.Duration
 }
 
 var (
@@ -279,9 +282,13 @@
 // entrySettings writes the settings file of an entry process and returns its path.
 func (s *system) entrySettings(i int) string {
 	name := fmt.Sprintf("entry-%d", i+1)
+	drainDelay := 200 * time.Millisecond
+	if s.shape.drainDelay > 0 {
+		drainDelay = s.shape.drainDelay
+	}
 	return s.writeJSON(name+".json", section{
 		"host": name, "region": s.shape.region, "domain": s.shape.domains[i%len(s.shape.domains)],
-		"entry": section{"name": name, "listen": s.entryAddresses[i], "controls": s.controlAddresses, "delay": "200ms", "grace": "20s"},
+		"entry": section{"name": name, "listen": s.entryAddresses[i], "controls": s.controlAddresses, "delay": drainDelay.String(), "grace": "20s"},
 	})
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 
 	"goldcreststack.example/goldcreststack/classifier"
 	"goldcreststack.example/goldcreststack/dialer"
+	"goldcreststack.example/goldcreststack/drainer"
 	"goldcreststack.example/goldcreststack/follower"
 	"goldcreststack.example/goldcreststack/limiter"
 	"goldcreststack.example/goldcreststack/linker"
@@ -135,20 +136,22 @@
 
 // Run serves until ctx ends or Drain is called, then shuts down gracefully.
 func (f *Forwarder) Run(ctx context.Context) error {
-	listener := f.settings.Listener
-	if listener == nil {
+	bound := f.settings.Listener
+	if bound == nil {
 		var err error
-		listener, err = net.Listen("tcp", f.settings.Listen)
+		bound, err = net.Listen("tcp", f.settings.Listen)
 		if err != nil {
 			return classifier.Wrap(classifier.Internal, err, "listen on "+f.settings.Listen)
 		}
 	}
+	listener := drainer.NewListener(bound)
 	f.settings.Report.Info("entry process listens", "address", listener.Addr().String())
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, serveCtx := errgroup.WithContext(serveCtx)
 	server := &http.Server{
 		Handler:           f.Handler(),
+		ConnState:         listener.ConnState,
 		ReadHeaderTimeout: 5 * time.Second,
 		IdleTimeout:       2 * time.Minute,
 	}
@@ -171,7 +174,7 @@
 		case <-serveCtx.Done():
 			return nil
 		}
-		return f.shutDown(serveCtx, server)
+		return f.shutDown(serveCtx, server, listener)
 	})
 	err := group.Wait()
 	f.dialer.Close()
@@ -185,7 +188,7 @@
 
 // shutDown fails the readiness check, waits for the balancer to notice, lets
 // queued and running requests finish, and returns the slots to the leader.
-func (f *Forwarder) shutDown(ctx context.Context, server *http.Server) error {
+func (f *Forwarder) shutDown(ctx context.Context, server *http.Server, listener *drainer.Listener) error {
 	startedAt := time.Now()
 	f.isClosing.Store(true)
 	f.settings.Report.Info("drain begins", "delay", f.settings.DrainDelay)
@@ -193,6 +196,10 @@
 	remaining := f.settings.DrainGrace - time.Since(startedAt)
 	graceCtx, cancel := context.WithTimeout(ctx, max(remaining, 0))
 	defer cancel()
+	// Leaves the other half of the grace to requests that are being served.
+	readCtx, stopReading := context.WithTimeout(graceCtx, max(remaining, 0)/2)
+	defer stopReading()
+	listener.WaitUntilRead(readCtx)
 	if err := server.Shutdown(graceCtx); err != nil {
 		_ = server.Close()
 		return classifier.Wrap(classifier.Internal, err, "requests were still running at the end of the grace period")
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -24,6 +24,7 @@
 	"goldcreststack.example/goldcreststack/clocker"
 	"goldcreststack.example/goldcreststack/controller"
 	"goldcreststack.example/goldcreststack/dispatcher"
+	"goldcreststack.example/goldcreststack/drainer"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/platform"
 	"goldcreststack.example/goldcreststack/pruner"
@@ -304,16 +305,22 @@
 		OnClosed:       p.report.Counter("connections_closed_unused_total").Inc,
 	}
 	var servers []*http.Server
+	var listeners []*drainer.Listener
 	for address, handler := range handlers {
-		listener, err := net.Listen("tcp", address)
+		bound, err := net.Listen("tcp", address)
 		if err != nil {
 			return classifier.Wrap(classifier.Internal, err, "listen on "+address)
 		}
+		listener := drainer.NewListener(bound)
+		listeners = append(listeners, listener)
 		server := &http.Server{
 			Handler:           handler,
 			ReadHeaderTimeout: 3 * time.Second,
-			ConnState:         connPruner.ConnState,
-			ErrorLog:          log.New(httpErrorLog{p.report}, "", 0),
+			ConnState: func(conn net.Conn, state http.ConnState) {
+				listener.ConnState(conn, state)
+				connPruner.ConnState(conn, state)
+			},
+			ErrorLog: log.New(httpErrorLog{p.report}, "", 0),
 		}
 		servers = append(servers, server)
 		group.Go(func() error {
@@ -352,6 +359,12 @@
 		stopMember()
 		shutdownCtx, cancel := context.WithTimeout(serveCtx, shutdownTimeout)
 		defer cancel()
+		// Leaves the other half of the time to requests that are being served.
+		readCtx, stopReading := context.WithTimeout(shutdownCtx, shutdownTimeout/2)
+		defer stopReading()
+		for _, listener := range listeners {
+			listener.WaitUntilRead(readCtx)
+		}
 		for _, server := range servers {
 			if err := server.Shutdown(shutdownCtx); err != nil {
 				p.report.Warn("requests were cut off", "error", err)
--- a/hoster/hoster_test.go
+++ b/hoster/hoster_test.go
@@ -1,6 +1,7 @@
 package hoster_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -240,6 +241,40 @@
 	assert.Assert(t, time.Since(stopTime) < killDelay, "ended after %s", time.Since(stopTime))
 }
 
+// Guards against a stopping process that cuts off a request whose head is still
+// arriving on an open connection.
+func TestShutdownServesRequestOnOpenConnection(t *testing.T) {
+	port := freePort(t)
+	address := imitator.PortAddress(ip(8), port, 1)
+	out, stop := startProcess(t, imitator.Node{Name: "c1", IP: ip(8), Port: port, Seeds: []string{address}, Bootstrap: true, DataFolder: filepath.Join(t.TempDir(), "data")})
+	assert.Assert(t, eventually(startTimeout, func() bool { return getStatus(address, "/") != 0 }), "never serves")
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer conn.Close()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(killDelay)))
+	reader := bufio.NewReader(conn)
+	const firstPart, rest = "GET / HTTP/1.1\r\n", "Host: c1\r\n\r\n"
+	expectAnswer := func() {
+		t.Helper()
+		answer, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, answer.Body)
+		assert.NilError(t, err)
+	}
+	_, err = io.WriteString(conn, firstPart+rest)
+	assert.NilError(t, err)
+	expectAnswer()
+	_, err = io.WriteString(conn, firstPart)
+	assert.NilError(t, err)
+	go stop()
+	assert.Assert(t, eventually(startTimeout, func() bool { return out.count("process stops") > 0 }), "does not stop")
+	// Meanwhile a process that doesn't wait for the rest closes the connection.
+	time.Sleep(100 * time.Millisecond)
+	_, err = io.WriteString(conn, rest)
+	assert.NilError(t, err)
+	expectAnswer()
+}
+
 // Guards against a control process that goes on without its member of the group
 // after that has failed. The group has a member less for good then, since the
 // platform restarts only processes that have ended.
