Rolling restarts: the test's balancer has the default drain delay

Cause of "connection refused": the test itself was late. In a scratch copy with timestamps, the balancer picked a host at 03.103 s, its process then stalled for 245 ms, and it dialed at 03.35 s, after the drain delay of 200 ms; the host had answered a check with 503 meanwhile. A second case had a stall of 847 ms. In nextReady a loop also kept the lock while no host was ready, so that no check could make one ready.

Ruled out: readiness that fails late (all hosts answered 503 within 72 ms of the signal), a listener that closes early ("drain ends" came 212 ms or more after "drain begins").

Change: the test uses the product's default drain delay of 2 s in place of 200 ms. All checks stay: no request may fail. It is stricter in one point: eight more callers send requests that outlast the drain delay, since those of 5 ms did not notice a server that cuts off requests. Three deliberate breaks (no drain delay, ready while draining, requests cut off) each turn it red.

--- a/cmd/goldcreststack/entry_test.go
+++ b/cmd/goldcreststack/entry_test.go
@@ -20,6 +20,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"goldcreststack.example/goldcreststack/loader"
 	"goldcreststack.example/goldcreststack/worker"
 )
 
@@ -42,8 +43,7 @@
 	return b
 }
 
-// probe checks the readiness of an entry host every 40 ms, which is five times in
-// the drain delay of 200 ms.
+// probe checks the readiness of an entry host every 40 ms.
 func (b *balancer) probe(ctx context.Context, entryAddress string) {
 	client := &http.Client{Timeout: 200 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 	for ctx.Err() == nil {
@@ -59,31 +59,55 @@
 	}
 }
 
+// nextReady returns the next entry host whose last check succeeded, and waits until
+// there is one.
 func (b *balancer) nextReady() string {
+	for {
+		if entryAddress, ready := b.nextEntry(); ready {
+			return entryAddress
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (b *balancer) nextEntry() (entryAddress string, ready bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for {
-		entryAddress := b.s.entryAddresses[b.next.Add(1)%uint64(len(b.s.entryAddresses))]
+	for range b.s.entryAddresses {
+		entryAddress = b.s.entryAddresses[b.next.Add(1)%uint64(len(b.s.entryAddresses))]
 		if b.ready[entryAddress] {
-			return entryAddress
+			return entryAddress, true
 		}
 	}
+	return entryAddress, false
 }
 
 // Guards against a rolling restart of all entry hosts that interrupts or refuses a
 // request. The hosts are drained and restarted one after the other under load.
 func TestRollingRestartUnderLoad(t *testing.T) {
-	s := newSystem(t, kitahama, 3, 7, 6)
+	shape := kitahama
+	// The balancer shares the machine with the system, and a request that it has
+	// sent on its way must arrive within the drain delay.
+	shape.drainDelay = loader.DefaultDrainDelay
+	s := newSystem(t, shape, 3, 7, 6)
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	b := newBalancer(ctx, s)
 	var served, failed atomic.Int64
 	var group sync.WaitGroup
-	for range 16 {
+	for i := range 24 {
 		group.Go(func() {
 			for ctx.Err() == nil {
 				text := fmt.Sprint(rand.Uint64())
-				answer, err := b.client.Post("http://"+b.nextReady()+"/v1/services/"+s.shape.service+"/x", "text/plain", strings.NewReader(text))
+				begin, entryAddress := time.Now(), b.nextReady()
+				request, err := http.NewRequest(http.MethodPost, "http://"+entryAddress+"/v1/services/"+s.shape.service+"/x", strings.NewReader(text))
+				assert.Check(t, err)
+				if i >= 16 {
+					// These requests outlast the drain delay.
+					request.Header.Set(worker.FaultHeader, string(worker.FaultSlow))
+					request.Header.Set(worker.DelayHeader, (shape.drainDelay + 500*time.Millisecond).String())
+				}
+				answer, err := b.client.Do(request)
 				if err != nil {
 					failed.Add(1)
 					t.Logf("%v", err)
@@ -93,7 +117,7 @@
 				_ = answer.Body.Close()
 				if err != nil || answer.StatusCode != http.StatusOK || !bytes.Contains(body, []byte(worker.DigestOf([]byte(text)))) {
 					failed.Add(1)
-					t.Logf("status %d %s %v", answer.StatusCode, body, err)
+					t.Logf("%s after %s: status %d %s %v", entryAddress, time.Since(begin), answer.StatusCode, body, err)
 				}
 				served.Add(1)
 			}
