--- a/forwarder/cell_test.go
+++ b/forwarder/cell_test.go
@@ -249,6 +249,16 @@
 	return count
 }
 
+// areWorkersIdle reports whether no worker serves a request.
+func (c *cell) areWorkersIdle() bool {
+	for _, w := range c.workers {
+		if active, _ := w.Active(); active > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func newKey() string { return uuid.Must(uuid.NewV7()).String() }
 
 func fault(name worker.Fault, delay time.Duration, size int) http.Header {
--- a/forwarder/fault_test.go
+++ b/forwarder/fault_test.go
@@ -103,7 +103,12 @@
 	for _, fc := range faultCases() {
 		for _, name := range []modeler.ServiceName{proof, cut} {
 			title := fmt.Sprintf("%s%s%s/%s", fc.method, fc.fault, fc.delay, name)
-			t.Run(title, func(t *testing.T) { c.tryFault(t, fc, name) })
+			t.Run(title, func(t *testing.T) {
+				// A connection on which a worker answers twice must not carry a
+				// request of the next case.
+				c.await("the workers have ended the requests of the last case", c.areWorkersIdle)
+				c.tryFault(t, fc, name)
+			})
 		}
 	}
 }
@@ -175,6 +180,29 @@
 	assert.Equal(t, r.outcome(), fc.outcome.String())
 }
 
+// Guards against an answer to another request that the caller takes for its own,
+// and against a wrong outcome, when a worker sends its second answer to a request
+// while the connection carries the next one.
+func TestSecondAnswerToFormerRequest(t *testing.T) {
+	c := newCell(t, 1, nil)
+	const body = "next"
+	r := c.call(call{service: proof, path: newKey(), header: fault(worker.FaultTwice, 300*time.Millisecond, 0), body: strings.NewReader("first")})
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.status, http.StatusOK, r.text)
+	key := newKey()
+	r = c.call(call{service: cut, path: key, key: key, body: strings.NewReader(body)})
+	assert.NilError(t, r.err)
+	if r.status == http.StatusOK {
+		// The second answer had arrived before the request was sent.
+		assert.Assert(t, strings.Contains(r.text, worker.DigestOf([]byte(body))), r.text)
+		assert.Equal(t, c.runs(key), 1)
+		return
+	}
+	assert.Equal(t, r.kind(), classifier.AnswerLost.String(), r.text)
+	assert.Equal(t, r.outcome(), classifier.OutcomeUnknown.String())
+	assert.Assert(t, c.runs(key) <= 1)
+}
+
 // Guards, under a random mix of concurrent worker faults, against an answer
 // that reaches another caller and against a second run of a request that must
 // not be repeated.
