Test that a frozen voter votes again, and that voters follow the settings

A voter that is frozen while a learner waits loses its vote and must ask to be admitted when it goes on; no test failed when it didn't, since the histories have their own copy of that decision. No test failed either when the tolerated losses or the time to catch up of the settings were ignored: the hosts of these tests had neither.

--- a/cmd/goldcreststack/replaced_test.go
+++ b/cmd/goldcreststack/replaced_test.go
@@ -63,6 +63,8 @@
 	controls []*host
 	entry    *host
 	started  int
+	// tolerance is the number of control hosts that may be lost at the same time.
+	tolerance int
 	// configuration is the version of the newest acknowledged configuration, and
 	// jobs are the accepted jobs.
 	configuration uint64
@@ -73,7 +75,10 @@
 // requests and the first loss is allowed.
 func newFleet(t *testing.T, size int) *fleet {
 	t.Parallel()
-	f := &fleet{t: t, folder: t.TempDir(), client: &http.Client{Timeout: time.Second}}
+	f := &fleet{t: t, folder: t.TempDir(), client: &http.Client{Timeout: time.Second}, tolerance: 1}
+	if size == 9 {
+		f.tolerance = 2
+	}
 	f.network = fmt.Sprintf("127.%d.%d.", 1+rand.IntN(254), rand.IntN(256))
 	free, err := net.Listen("tcp", f.network+"1:0")
 	assert.NilError(t, err)
@@ -107,6 +112,7 @@
 	h.node = imitator.Node{
 		Name: name, IP: f.network + fmt.Sprint(f.started), Entry: entry, Port: f.port,
 		DataFolder: filepath.Join(f.folder, name), MaxLease: 6 * time.Second, MaxStopTime: 400 * time.Millisecond,
+		LossTolerance: f.tolerance, CatchUp: catchUp,
 	}
 	h.env = []string{imitator.NodeVariable + "=" + filepath.Join(f.folder, name+".json")}
 	f.t.Cleanup(func() {
@@ -393,3 +399,50 @@
 	}
 	f.checkAcknowledged()
 }
+
+// voters returns the number of voters that the leader reports.
+func (f *fleet) voters() int {
+	f.t.Helper()
+	leader := f.leader()
+	_, body := call(f.client, http.MethodGet, net.JoinHostPort(leader.node.IP, "9464"), "/metrics", "")
+	voters := 0
+	for line := range strings.Lines(body) {
+		_, _ = fmt.Sscanf(line, fmt.Sprintf("goldcreststack_voters{role=\"control\",name=%q} %%d", leader.name), &voters)
+	}
+	return voters
+}
+
+// Guards against a group with fewer voters than the tolerated losses in the settings require.
+func TestVotersFollowToleratedLosses(t *testing.T) {
+	f := newFleet(t, 9)
+	f.await(recovery, "all hosts vote", func() error {
+		if voters := f.voters(); voters != 9 {
+			return fmt.Errorf("%d vote", voters)
+		}
+		return nil
+	})
+}
+
+// Guards against a voter that loses its vote while it is frozen, and takes itself for a member for good.
+func TestFrozenVoterVotesAgain(t *testing.T) {
+	f := newFleet(t, 3)
+	leader := f.leader()
+	frozen := f.oldest(1, leader)[0]
+	f.add(1, leader)
+	time.Sleep(catchUp)
+	frozen.suspend()
+	time.Sleep(catchUp)
+	frozen.signal(syscall.SIGCONT)
+	time.Sleep(catchUp)
+	for range 2 {
+		for _, h := range f.controls {
+			if h != frozen && h != f.leader() {
+				h.kill()
+				f.remove(h)
+				break
+			}
+		}
+		time.Sleep(catchUp)
+	}
+	f.accept(recovery)
+}
