--- a/replicator/reconfiguration_test.go
+++ b/replicator/reconfiguration_test.go
@@ -38,6 +38,27 @@
 	})
 }
 
+// cutFromLeader cuts the links between the host of a place and the leader for a
+// while, in one direction or both. The others reach both.
+func (s *site) cutFromLeader(p *place) {
+	leader := s.leaseHolder()
+	if leader == nil || leader == p.host {
+		return
+	}
+	s.counts["cut from the leader"]++
+	span := time.Duration(s.rng.Int64N(int64(6 * time.Second)))
+	p.lostUntil = s.now + span + catchUp
+	s.later(span, func() {})
+	way := 1 + s.rng.IntN(3)
+	s.note("%d is cut from %d for %s, way %d", p.host.id, leader.id, span, way)
+	if way&cutOutgoing != 0 {
+		s.cutUntil[link{p.host.id, leader.id}] = s.now + span
+	}
+	if way&cutIncoming != 0 {
+		s.cutUntil[link{leader.id, p.host.id}] = s.now + span
+	}
+}
+
 // checkSpareVoters requires that the tolerated losses leave a quorum.
 func (s *site) checkSpareVoters() {
 	voters, gone := 0, 0
@@ -71,7 +92,11 @@
 				p := s.places[s.rng.IntN(len(s.places))]
 				if s.rng.IntN(2) == 0 && p.host != nil && s.isRunning(p.host) && s.now >= p.lostUntil && s.lost(lostUntil) < s.tolerance {
 					s.calmSince = s.now
-					s.restartInOrder(p)
+					if s.rng.IntN(3) == 0 {
+						s.cutFromLeader(p)
+					} else {
+						s.restartInOrder(p)
+					}
 					continue
 				}
 				s.injectSiteFault()
