--- a/cmd/goldcreststack/replaced_test.go
+++ b/cmd/goldcreststack/replaced_test.go
@@ -405,3 +405,33 @@
 	}
 	f.checkAcknowledged()
 }
+
+// Guards against a group with fewer voters than the tolerated losses in the settings require.
+func TestVotersFollowToleratedLosses(t *testing.T) {
+	f := newFleet(t, 9, 2)
+	f.awaitVoters(recovery, f.controls...)
+}
+
+// Guards against a voter that loses its vote to a learner while it is frozen, and takes itself for a member for good.
+func TestFrozenVoterVotesAgain(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	leader := f.leader()
+	frozen := f.oldest(1, leader)[0]
+	f.add(1, leader)
+	time.Sleep(catchUp)
+	frozen.suspend()
+	time.Sleep(catchUp)
+	frozen.signal(syscall.SIGCONT)
+	time.Sleep(catchUp)
+	for range 2 {
+		for _, h := range f.controls {
+			if h != frozen && h != f.leader() {
+				h.kill()
+				f.remove(h)
+				break
+			}
+		}
+		time.Sleep(catchUp)
+	}
+	f.accept(recovery)
+}
