A stopping leader tries its hand-over again before it leaves

The hand-over was given up after 0.5 s, the announcement went to the leader itself until it was given up after 0.9 s, and the host left without an exchange. The next loss left one of three voters.

Now the process repeats hand-over and announcement until the leader confirms, for 2.5 s at most; the platform kills it after 6 s at the earliest.

--- a/cmd/goldcreststack/returning_test.go
+++ b/cmd/goldcreststack/returning_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -158,3 +159,26 @@
 	assert.NilError(f.t, h.wait(gracePeriod))
 	h.process.start()
 }
+
+// Guards against a leader that leaves without its successor, because no entry was committed for a moment when it was stopped.
+func TestStoppedLeaderTriesHandOverAgain(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	leader := f.leader()
+	began := time.Now()
+	f.add(1, leader)
+	time.Sleep(time.Until(began.Add(catchUp)))
+	others := slices.DeleteFunc(slices.Clone(f.controls), func(h *host) bool { return h == leader })
+	for _, h := range others {
+		h.suspend()
+	}
+	leader.signal(syscall.SIGTERM)
+	// Longer than a hand-over, and too short for an election.
+	time.Sleep(600 * time.Millisecond)
+	for _, h := range others {
+		h.signal(syscall.SIGCONT)
+	}
+	assert.NilError(t, leader.wait(gracePeriod))
+	f.remove(leader)
+	leader = f.leader()
+	f.replaceLost(f.oldest(1, leader), leader)
+}
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -57,9 +57,11 @@
 	// join that get the same answer.
 	joinReportInterval = 5 * time.Second
 	// leaveTimeout bounds the time for which a stopping control process waits for a
-	// successor, and leaveInterval is the time between two requests for one.
-	leaveTimeout  = 1500 * time.Millisecond
-	leaveInterval = 20 * time.Millisecond
+	// successor, leaveCallTimeout that of one request for it, and leaveInterval is
+	// the time between two requests.
+	leaveTimeout     = 2500 * time.Millisecond
+	leaveCallTimeout = 250 * time.Millisecond
+	leaveInterval    = 20 * time.Millisecond
 	// settingsPollInterval is the time between two reads of the settings file,
 	// which may change without a signal.
 	settingsPollInterval = 2 * time.Second
@@ -422,25 +424,29 @@
 	}
 }
 
-// leaveGroup tells the leader that the process stops, so that a waiting learner
-// takes its place, and waits until that is done. It isn't known whether the
-// process is replaced or comes back; without a learner its place is kept.
+// leaveGroup hands the leadership over and tells the leader that the process
+// stops, so that a waiting learner takes its place, and waits until that is done.
+// It isn't known whether the process is replaced or comes back; without a learner
+// its place is kept.
 func (p *process) leaveGroup(ctx context.Context, c *controller.Controller) {
 	if !c.CanBeReplaced() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	c.HandOver(ctx)
 	m := modeler.Member{ID: c.Member(), Address: p.node.LinkAddress}
-	for {
-		_, err := p.relay.Call(ctx, &modeler.Call{Kind: modeler.LeaveCall, Member: &m})
-		if classifier.KindOf(err) != classifier.Unconfirmed || ctx.Err() != nil {
-			p.report.Info("leave announced", "member", m.ID, "answer", classifier.KindOf(err).String())
-			return
+	var err error
+	for ctx.Err() == nil {
+		// A hand-over fails if no entry is committed for a while.
+		c.HandOver(ctx)
+		// A call takes at most half of the time for which its caller waits.
+		_, err = p.relay.Call(ctx, &modeler.Call{Kind: modeler.LeaveCall, Member: &m, Wait: 2 * leaveCallTimeout})
+		if err == nil {
+			break
 		}
 		time.Sleep(leaveInterval)
 	}
+	p.report.Info("leave announced", "member", m.ID, "answer", classifier.KindOf(err).String())
 }
 
 // watchSettings reloads the seeds on SIGHUP and whenever those in the settings
