Histories end a stopping host once it has no vote, as processes do

A process repeats hand-over and announcement until the leader confirms, for 2.5 s at most; the histories now do the same.

--- a/replicator/replacement_test.go
+++ b/replicator/replacement_test.go
@@ -25,6 +25,10 @@
 	// leader, and between two requests of a host to be admitted.
 	tickInterval = 100 * time.Millisecond
 	joinInterval = 300 * time.Millisecond
+	// leaveTimeout bounds the time for which a host that stops waits until it has no
+	// vote, and leaveInterval is the time between two looks.
+	leaveTimeout  = 2500 * time.Millisecond
+	leaveInterval = 20 * time.Millisecond
 )
 
 // place is one of the places for a host of the group. It counts as lost while it
@@ -39,6 +43,8 @@
 type scheduled struct {
 	at time.Duration
 	do func()
+	// isCheck says that a fault neither begins nor ends.
+	isCheck bool
 }
 
 // site plays the hosts of a group: they are replaced, lose their disks, restart,
@@ -92,7 +98,7 @@
 
 // later runs do after the delay.
 func (s *site) later(delay time.Duration, do func()) {
-	s.schedule = append(s.schedule, scheduled{s.now + delay, do})
+	s.schedule = append(s.schedule, scheduled{at: s.now + delay, do: do})
 }
 
 // isJoined reports whether the host takes itself for a member: it is one by the
@@ -174,7 +180,9 @@
 			s.schedule = append(s.schedule, e)
 			continue
 		}
-		s.calmSince = s.now
+		if !e.isCheck {
+			s.calmSince = s.now
+		}
 		e.do()
 	}
 }
@@ -250,11 +258,9 @@
 	p.diskLostUntil = p.lostUntil
 	s.places = append(s.places, &place{host: successor, lostUntil: p.lostUntil, diskLostUntil: p.diskLostUntil})
 	s.later(successorDelay+time.Duration(s.rng.Int64N(int64(catchUp-successorDelay))), func() {
-		if old.r != nil && old.r.Status().Role == replicator.Leader {
-			_ = s.transfer(old, 0)
-		}
+		s.note("%d leaves", old.id)
 		s.leaving = append(s.leaving, old.id)
-		s.later(300*time.Millisecond, func() {
+		s.leave(old, s.now+leaveTimeout, func() {
 			s.note("%d ends in order", old.id)
 			s.end(old)
 			// The successor's place may be lost by now.
@@ -263,6 +269,24 @@
 	})
 }
 
+// leave hands the leadership over and waits until the host has no vote, but not
+// longer than until, before it ends the host.
+func (s *site) leave(h *host, until time.Duration, end func()) {
+	if h.r != nil && h.r.Status().Role == replicator.Leader && !h.r.Transferring() {
+		_ = s.transfer(h, 0)
+	}
+	leader := s.leaseHolder()
+	hasVote := leader == nil || leader == h || slices.ContainsFunc(leader.r.MembershipAt(leader.r.Status().Commit).Members, func(m modeler.Member) bool {
+		return m.ID == h.id && !m.Learner
+	})
+	if !hasVote || s.now >= until {
+		s.calmSince = s.now
+		end()
+		return
+	}
+	s.schedule = append(s.schedule, scheduled{at: s.now + leaveInterval, do: func() { s.leave(h, until, end) }, isCheck: true})
+}
+
 // interrupt crashes, pauses or cuts off the host of a place for a while.
 func (s *site) interrupt(p *place) {
 	h := p.host
