--- a/reconfigurer/reconfigurer_test.go
+++ b/reconfigurer/reconfigurer_test.go
@@ -238,3 +238,36 @@
 		assert.Assert(t, !found, "the voter that leaves still votes: %v", g.status.Members.Members)
 	}
 }
+
+// Guards against changes that end while the members that answer could bear the tolerated losses, but the voters among them can't.
+func TestSettledGroupBearsToleratedLosses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tolerance := rapid.IntRange(1, 3).Draw(t, "tolerance")
+		voters := rapid.IntRange(1, 16).Draw(t, "voters")
+		silentVoters := rapid.IntRange(0, (voters-1)/2).Draw(t, "silent voters")
+		learners := rapid.IntRange(0, 8).Draw(t, "learners")
+		silentLearners := rapid.IntRange(0, learners).Draw(t, "silent learners")
+		g := newGroup(tolerance, voters, silentVoters, learners, silentLearners)
+		for i := range rapid.IntRange(0, voters-silentVoters-1).Draw(t, "leaving") {
+			g.leaving = append(g.leaving, modeler.MemberID(i+2))
+		}
+		spare := func() int {
+			voters, silent, _ := g.count()
+			return voters - silent - reconfigurer.Quorum(voters)
+		}
+		for before := spare(); g.next(); before = spare() {
+			assert.Assert(t, spare() >= before, "%d further losses are borne, %d before: %v", spare(), before, g.status.Members.Members)
+		}
+		g.leaving = nil
+		g.settle(t)
+		answering := 0
+		for _, m := range g.status.Members.Members {
+			if g.silent[m.ID] == 0 {
+				answering++
+			}
+		}
+		if answering > 2*tolerance {
+			assert.Assert(t, spare() >= tolerance, "%d answer: %v", answering, g.status.Members.Members)
+		}
+	})
+}
