A worker that was away when the policy answered is asked about again

A step took a worker for refused by the outside policy, for as long as the step waits, if the worker had departed when the answer came, whatever the answer was. A worker that came back under its id got no task of the step; if no other could take it, the job stayed pending for good.

TestWorkerAwayDuringPermitRequestIsAskedAgain failed before (pending 10 s after the return of the only worker).

--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -252,7 +252,12 @@
 		}
 		at := slices.IndexFunc(a.Allowed, func(g modeler.PermitGrant) bool { return g.Worker == id })
 		h := d.hosts[id]
-		if at < 0 || h == nil {
+		if h == nil {
+			// The worker has departed. If it comes back, the policy is asked again.
+			delete(u.permits, id)
+			continue
+		}
+		if at < 0 {
 			delete(u.permits, id)
 			u.denied[id] = true
 			continue
