--- a/follower/client.go
+++ b/follower/client.go
@@ -63,7 +63,11 @@
 func (c *Client) KeepLinks(ctx context.Context, addresses []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.fixed = append(c.fixed, addresses...)
+	for _, address := range addresses {
+		if !slices.Contains(c.fixed, address) {
+			c.fixed = append(c.fixed, address)
+		}
+	}
 	c.updateKeepers(ctx)
 }
 
