Soak tests run side by side

go test -race ./soaker, without and with only the known red ones

took 110 and 60 s with four plays side by side within each test. The tests now share eight plays at a time: 82 and 38 s.

--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -25,7 +25,7 @@
 	folder      = flag.String("folder", "", "folder for settings, data and logs")
 	workers     = flag.Int("workers", 6, "number of stand-in workers")
 	replace     = flag.Bool("replace", true, "replace control hosts, with random seeds and with -seed")
-	concurrency = flag.Int("concurrency", 4, "number of soaks to run side by side")
+	concurrency = flag.Int("concurrency", 8, "number of soaks to run side by side")
 )
 
 // keptSeeds are the seeds that CI runs without replacements of hosts: two that cover
@@ -110,23 +110,25 @@
 	return binary
 }
 
-// soak runs the soak with one seed in each subtest, and up to concurrency of them
-// side by side.
-type soak struct {
-	binary  string
-	running chan struct{}
-}
+// plays bounds the soaks that run side by side, of all tests.
+var plays = sync.OnceValue(func() chan struct{} { return make(chan struct{}, *concurrency) })
+
+// soak runs the soak with one seed in each subtest.
+type soak struct{ binary string }
 
+// newSoak builds the program, and lets the test run beside the other soaks.
 func newSoak(t *testing.T) *soak {
-	return &soak{binary: buildBinary(t), running: make(chan struct{}, *concurrency)}
+	k := &soak{binary: buildBinary(t)}
+	t.Parallel()
+	return k
 }
 
 func (k *soak) run(t *testing.T, replaces bool, length time.Duration, seeds ...uint64) {
 	for _, s := range seeds {
 		t.Run(fmt.Sprint(s), func(t *testing.T) {
 			t.Parallel()
-			k.running <- struct{}{}
-			defer func() { <-k.running }()
+			plays() <- struct{}{}
+			defer func() { <-plays() }()
 			k.runSeed(t, replaces, length, s)
 		})
 	}
