A stopping entry host closes connections after each answer

Cause: callers with open connections kept using them until a stopping process cut them off. A hosted entry process never sent "Connection: close"; the other entry process sent it for requests to services only. A request that is sent just when the connection is closed as idle is lost. Found by reading, while tracing the resets of TestRollingRestartUnderLoad.

Change: both processes send "Connection: close" on all routes from the order to stop on.

--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -11,6 +11,18 @@
 	"golang.org/x/sys/unix"
 )
 
+// CloseConnections returns a handler that closes the connection after each answer
+// while the process is stopping, so that callers with open connections go elsewhere
+// before the listener closes.
+func CloseConnections(handler http.Handler, isStopping func() bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if isStopping() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // pollInterval is the time between two looks at the connections.
 const pollInterval = 2 * time.Millisecond
 
--- a/forwarder/caller_test.go
+++ b/forwarder/caller_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -216,6 +217,28 @@
 	assert.Equal(t, c.runs("stalled"), 0)
 }
 
+// Guards against callers of any route that keep using their connections to a
+// stopping entry host until these are cut off.
+func TestStoppingEntryHostClosesConnections(t *testing.T) {
+	c := newCell(t, 1, nil)
+	handler := c.entry.Handler()
+	c.entry.Drain()
+	for _, path := range []string{"/metrics", "/v1/status", "/v1/services/" + proof + "/x"} {
+		c.await("the connection is closed after "+path, func() bool {
+			answer := httptest.NewRecorder()
+			handler.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, path, nil).WithContext(shortContext(t)))
+			return answer.Result().Header.Get("Connection") == "close"
+		})
+	}
+}
+
+// shortContext returns a context that ends after 100 ms.
+func shortContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	t.Cleanup(cancel)
+	return ctx
+}
+
 // panickingWriter is a ResponseWriter whose Write panics.
 type panickingWriter struct{ http.ResponseWriter }
 
--- a/forwarder/handler.go
+++ b/forwarder/handler.go
@@ -4,13 +4,14 @@
 	"context"
 	"net/http"
 
+	"goldcreststack.example/goldcreststack/drainer"
 	"goldcreststack.example/goldcreststack/listener"
 	"goldcreststack.example/goldcreststack/modeler"
 )
 
 // Handler returns the HTTP handler for callers, workers and operators.
 func (f *Forwarder) Handler() http.Handler {
-	return listener.New(listener.Handlers{
+	routes := listener.New(listener.Handlers{
 		ServeRequest: f.ServeRequest,
 		Heartbeat:    f.heartbeats.send,
 		Propose:      f.propose,
@@ -20,6 +21,7 @@
 		WriteState:   f.writeState,
 		WriteMetrics: f.writeMetrics,
 	})
+	return drainer.CloseConnections(routes, f.isClosing.Load)
 }
 
 // startDrain starts the graceful shutdown and counts the requests that still
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -54,11 +54,6 @@
 // ServeRequest serves a caller's request to the named service; target is the
 // controlProxy and query sent to the worker.
 func (f *Forwarder) ServeRequest(w http.ResponseWriter, r *http.Request, name modeler.ServiceName, target string) {
-	if f.isClosing.Load() {
-		// Makes keep-alive callers reconnect to another entry host before the
-		// listener closes.
-		w.Header().Set("Connection", "close")
-	}
 	service, found := (*f.services.Load())[name]
 	if !found {
 		f.writeUnknownService(w, r, name)
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -319,7 +319,7 @@
 		listener := drainer.NewListener(bound)
 		listeners = append(listeners, listener)
 		server := &http.Server{
-			Handler:           handler,
+			Handler:           drainer.CloseConnections(handler, p.stopping.Load),
 			ReadHeaderTimeout: 3 * time.Second,
 			ConnState: func(conn net.Conn, state http.ConnState) {
 				listener.ConnState(conn, state)
--- a/hoster/hoster_test.go
+++ b/hoster/hoster_test.go
@@ -233,6 +233,11 @@
 		close(ended)
 	}()
 	assert.Assert(t, eventually(probeInterval/4, func() bool { return getStatus(readiness, imitator.ReadyPath) == http.StatusServiceUnavailable }), "still ready")
+	client := http.Client{Timeout: probeInterval}
+	answer, err := client.Get("http://" + callers + "/none/0123456789abcdef")
+	assert.NilError(t, err)
+	assert.NilError(t, answer.Body.Close())
+	assert.Assert(t, answer.Close, "the caller keeps a connection to a stopping host")
 	for time.Since(stopTime) < 2*probeInterval {
 		assert.Assert(t, isServed(), "not served %s after the order to stop", time.Since(stopTime))
 		time.Sleep(probeInterval / 10)
