dialer: tell the age of the connection on which an answer was lost

Cause: TestRollingRestartUnderLoad failed once with "answer from 127.11.26.190:43811: answer-lost: unexpected EOF".

Change: the error says how long the connection was open or idle before the request, and how long after it the answer was lost. The outcome and the decision to try another worker are unchanged.

--- a/dialer/attempt.go
+++ b/dialer/attempt.go
@@ -75,6 +75,8 @@
 	ctx     context.Context
 	attempt *Attempt
 	reused  bool
+	// startedAt is when the connection was ready.
+	startedAt time.Time
 	// token is sent with the request; isTokenReturned says that the answer has
 	// carried it.
 	token           string
--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -34,6 +34,7 @@
 	// request.
 	hasStrayAnswer bool
 
+	openedAt time.Time
 	// isUsed says that the connection has carried a request; idleSince is when
 	// it became idle.
 	isUsed      bool
@@ -43,7 +44,7 @@
 }
 
 func newConn(raw net.Conn, p *pool, progress time.Duration) *conn {
-	c := &conn{raw: raw, pool: p, progress: progress}
+	c := &conn{raw: raw, pool: p, progress: progress, openedAt: time.Now()}
 	c.reader = bufio.NewReader(deadlineReader{c})
 	c.writer = bufio.NewWriter(progressWriter{c})
 	return c
--- a/dialer/exchange.go
+++ b/dialer/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -47,7 +48,7 @@
 			return nil, err
 		}
 	}
-	x := &exchange{dialer: d, conn: c, ctx: ctx, attempt: &a, reused: c.isUsed}
+	x := &exchange{dialer: d, conn: c, ctx: ctx, attempt: &a, reused: c.isUsed, startedAt: time.Now()}
 	c.isUsed = true
 	x.token = d.tokenPrefix + strconv.FormatUint(d.tokenCount.Add(1), 36)
 	request.Header[modeler.RequestHeader] = []string{x.token}
@@ -254,7 +255,17 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return classifier.Wrap(classifier.AnswerTimeout, err, "no answer from "+x.attempt.Address)
 	}
-	return classifier.Wrap(classifier.AnswerLost, err, "answer from "+x.attempt.Address)
+	return classifier.Wrap(classifier.AnswerLost, err, fmt.Sprintf("answer from %s on a connection %s, %s after the start of the request",
+		x.attempt.Address, x.connAge(), time.Since(x.startedAt).Round(time.Millisecond)))
+}
+
+// connAge says how long the connection was open or idle before the request. A
+// worker may have closed it meanwhile.
+func (x *exchange) connAge() string {
+	if x.reused {
+		return fmt.Sprintf("reused after %s", x.startedAt.Sub(x.conn.idleSince).Round(time.Millisecond))
+	}
+	return fmt.Sprintf("opened %s before", x.startedAt.Sub(x.conn.openedAt).Round(time.Millisecond))
 }
 
 // abandonConn closes the connection of a request that failed or whose answer
--- a/dialer/fault_test.go
+++ b/dialer/fault_test.go
@@ -111,6 +111,20 @@
 	}
 }
 
+// Guards against the error of a lost answer that doesn't tell whether the worker may
+// have closed a connection that was idle for long.
+func TestLostAnswerTellsAgeOfConnection(t *testing.T) {
+	u := start(t, worker.Settings{})
+	_, _, err := u.fetch(t.Context(), u.attempt(worker.FaultClose))
+	assert.Equal(t, classifier.KindOf(err), classifier.AnswerLost, "%v", err)
+	assert.ErrorContains(t, err, "on a connection opened ")
+	_, _, err = u.fetch(t.Context(), u.attempt(worker.FaultNone))
+	assert.NilError(t, err)
+	_, _, err = u.fetch(t.Context(), u.attempt(worker.FaultClose))
+	assert.Equal(t, classifier.KindOf(err), classifier.AnswerLost, "%v", err)
+	assert.ErrorContains(t, err, "on a connection reused after ")
+}
+
 func waitCount(t *testing.T, u *upstream, idle bool) {
 	t.Helper()
 	want := dialer.Count{}
