--- a/cmd/goldcreststack/hosted.go
+++ b/cmd/goldcreststack/hosted.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -12,6 +15,9 @@
 	"goldcreststack.example/goldcreststack/reporter"
 )
 
+// flushTimeout bounds the wait of an ending process for a slow reader of its log.
+const flushTimeout = 200 * time.Millisecond
+
 func newHosted() *cobra.Command {
 	cmd := &cobra.Command{
 		Use:   "hosted",
@@ -23,14 +29,19 @@
 			Short: short,
 			Args:  cobra.NoArgs,
 			RunE: func(cmd *cobra.Command, _ []string) error {
+				// The platform announces changed settings by SIGHUP, which would end the
+				// process. It loses no change, since the settings are polled later.
+				signal.Ignore(syscall.SIGHUP)
 				node, err := platform.LoadNode()
 				if err != nil {
 					return err
 				}
+				out := reporter.NewAsyncWriter(os.Stdout)
+				defer out.Flush(flushTimeout)
 				return run(cmd.Context(), node, reporter.New(reporter.Options{
 					Role:  string(name),
 					Name:  node.Name,
-					Out:   reporter.NewAsyncWriter(os.Stdout),
+					Out:   out,
 					Level: reporter.Info,
 				}))
 			},
--- a/controller/core.go
+++ b/controller/core.go
@@ -21,6 +21,9 @@
 	leaderTickInterval = 100 * time.Millisecond
 	// maxBurst bounds the events handled between two flushes.
 	maxBurst = 256
+	// leaderSilence is how long a member hears no leader until it asks to be
+	// admitted again; elections take up to half as long.
+	leaderSilence = 2 * time.Second
 	// snapshotEvery is the default number of log entries between two snapshots.
 	snapshotEvery = 20_000
 	// snapshotBytes is the default size of the applied log entries after which a
@@ -35,6 +38,12 @@
 	reply func(modeler.Result)
 }
 
+// unwrittenSnapshot is a snapshot with the copy of the state that it will hold.
+type unwrittenSnapshot struct {
+	snapshot modeler.Snapshot
+	state    *applier.Copy
+}
+
 // core holds the state that only the core goroutine uses.
 type core struct {
 	controller       *Controller
@@ -63,6 +72,9 @@
 	// snapshot is the index of the newest snapshot.
 	snapshot         modeler.Index
 	isSavingSnapshot bool
+	// unwrittenSnapshot waits until the entries that it covers are on the disk;
+	// nil if there is none.
+	unwrittenSnapshot *unwrittenSnapshot
 	// bytesSinceSnapshot is the size of the log entries applied since the last
 	// snapshot, and bytesInSnapshot the part of it that the snapshot being saved
 	// covers.
@@ -75,6 +87,15 @@
 	// handOverDone is closed when a leadership transfer before a shutdown is
 	// over; nil if none is under way.
 	handOverDone chan struct{}
+
+	// lostElections is the number of lost elections that have been reported.
+	lostElections     uint64
+	lostElectionLimit repeatLimit
+	// refusals limits the lines about refused changes, for each member.
+	refusals map[modeler.MemberID]*repeatLimit
+	// lastRefusal says why the newest change of members was refused; empty after
+	// an accepted one.
+	lastRefusal string
 }
 
 func newCore(controller *Controller, saved replicator.Saved) (*core, error) {
@@ -85,6 +106,7 @@
 		pendingProposals: make(map[modeler.Index]proposal),
 		entryLinks:       make(map[modeler.EntrySession]*linker.Link),
 		entrySessions:    make(map[*linker.Link]modeler.EntrySession),
+		refusals:         make(map[modeler.MemberID]*repeatLimit),
 		snapshot:         saved.Snapshot.Index,
 		appliedTerm:      saved.Snapshot.Term,
 	}
@@ -159,6 +181,7 @@
 		c.log.Step(now, e.message)
 	case writeSynced:
 		c.log.Synced(now, e.write)
+		c.saveSnapshot(ctx)
 	case diskFullChanged:
 		c.diskFull = e.diskFull
 	case snapshotFinished:
@@ -252,8 +275,11 @@
 			return err
 		}
 	}
-	for i := range out.Messages {
-		c.controller.peers.send(&out.Messages[i])
+	if len(out.Messages) > 0 {
+		now := c.controller.now()
+		for i := range out.Messages {
+			c.controller.peers.send(now, &out.Messages[i])
+		}
 	}
 	if out.Snapshot != nil {
 		if err := c.installSnapshot(out.Snapshot); err != nil {
@@ -342,7 +368,7 @@
 
 // takeSnapshot starts a snapshot when enough entries or bytes have been applied
 // and no other snapshot is being saved. It copies the state here; another
-// goroutine encodes the copy.
+// goroutine encodes the copy and saves it.
 func (c *core) takeSnapshot(ctx context.Context) {
 	settings := &c.controller.settings
 	due := c.appliedIndex >= c.snapshot+settings.SnapshotEvery || c.bytesSinceSnapshot >= settings.SnapshotBytes
@@ -356,7 +382,20 @@
 		Term:       c.appliedTerm,
 		Membership: c.log.MembershipAt(c.appliedIndex),
 	}
-	go c.controller.saveSnapshot(ctx, s, c.state.Copy())
+	c.unwrittenSnapshot = &unwrittenSnapshot{snapshot: s, state: c.state.Copy()}
+	c.saveSnapshot(ctx)
+}
+
+// saveSnapshot saves the snapshot that was taken, once the entries that it covers
+// are on the disk. The store refuses entries that a saved snapshot covers, and a
+// commit doesn't wait for this member's disk.
+func (c *core) saveSnapshot(ctx context.Context) {
+	s := c.unwrittenSnapshot
+	if s == nil || c.log.Summary().Synced < s.snapshot.Index {
+		return
+	}
+	c.unwrittenSnapshot = nil
+	go c.controller.saveSnapshot(ctx, s.snapshot, s.state)
 }
 
 // propose appends a command to the log; reply is called with its result, if it
@@ -390,6 +429,7 @@
 			"last", status.Last, "commit", status.Commit)
 		c.role = status.Role
 	}
+	c.reportLostElection(now, &status.LostElection)
 	if c.leader != nil && (!leads || c.leader.term != status.Term) {
 		c.endLeadership()
 	}
@@ -400,17 +440,39 @@
 		c.beginLeadership(now, status.Term)
 	}
 	c.controller.peers.setMembers(status.Members.Members)
-	c.controller.joined.Store(slices.ContainsFunc(status.Members.Members, func(m modeler.Member) bool {
-		return m.ID == c.controller.settings.Member
-	}))
+	c.controller.joined.Store(c.isJoined(now, status))
+	c.controller.replaceable.Store(c.isReplaceable(status))
 	c.updateHello(status)
 	c.finishHandOver(status)
 }
 
+// isJoined reports whether this member belongs to the group: by the newest
+// membership that it has received, and because a leader sends to it. A member
+// that was removed while it was cut off doesn't receive that change.
+func (c *core) isJoined(now modeler.ClockReading, status replicator.Status) bool {
+	if status.Role != replicator.Leader && now.Sub(status.LeaderContact) > leaderSilence {
+		return false
+	}
+	return slices.ContainsFunc(status.Members.Members, func(m modeler.Member) bool {
+		return m.ID == c.controller.settings.Member
+	})
+}
+
+func (c *core) isReplaceable(status replicator.Status) bool {
+	votes, hasLearner := false, false
+	for _, m := range status.Members.Members {
+		votes = votes || !m.Learner && m.ID == c.controller.settings.Member
+		hasLearner = hasLearner || m.Learner
+	}
+	return votes && hasLearner
+}
+
 func (c *core) beginLeadership(now modeler.ClockReading, term modeler.Term) {
 	c.controller.settings.Report.Info("leadership begins", "term", term)
 	c.controller.settings.OnLeadership(true)
 	c.leader = newLeadership(c, now, term)
+	c.lastRefusal = ""
+	clear(c.refusals)
 	c.slotAllocator.Lead(now, term, c.state.Records().Sessions())
 	c.slotAllocator.SetLeaseEnd(c.log.LeaseEnd(now))
 	c.leader.broadcastConfiguration(now)
--- a/controller/joining.go
+++ b/controller/joining.go
@@ -2,84 +2,84 @@
 
 import (
 	"slices"
-	"time"
 
 	"goldcreststack.example/goldcreststack/classifier"
 	"goldcreststack.example/goldcreststack/modeler"
+	"goldcreststack.example/goldcreststack/reconfigurer"
 	"goldcreststack.example/goldcreststack/replicator"
 )
 
-// replaceAfter is how long a voter must have been silent before it is removed
-// and a caught-up learner takes its place: longer than a restart or a pause of
-// a host.
-const replaceAfter = 15 * time.Second
+var changeEvents = map[reconfigurer.Kind]string{
+	reconfigurer.Add: "member added", reconfigurer.Promote: "member votes", reconfigurer.Remove: "member removed", reconfigurer.Move: "member moved",
+}
 
-// admitMember adds a member at its own request. A member with another id at the
-// same address has lost its disk and is removed first.
+// admitMember adds a member at its own request.
 func (c *core) admitMember(now modeler.ClockReading, m modeler.Member) modeler.Reply {
-	members := c.log.Status().Members.Members
-	next := slices.Clone(members)
-	switch at := slices.IndexFunc(members, func(held modeler.Member) bool { return held.Address == m.Address }); {
-	case at >= 0 && members[at].ID == m.ID:
+	change, needed := c.controller.settings.Voters.Admit(c.log.Status().Members, m)
+	if !needed {
 		return modeler.Reply{}
-	case at >= 0:
-		next = slices.Delete(next, at, at+1)
-		c.controller.settings.Report.Info("member removed", "member", members[at].ID, "address", m.Address, "reason", "its host came back without its disk")
-	default:
-		next = append(next, modeler.Member{ID: m.ID, Address: m.Address, Learner: true})
-		c.controller.settings.Report.Info("member added", "member", m.ID, "address", m.Address)
 	}
-	if err := c.log.ChangeMembers(now, modeler.Membership{Members: next}); err != nil {
+	if err := c.proposeMembership(now, change); err != nil {
 		return errorReply(err)
 	}
 	return errorReply(classifier.New(classifier.Unconfirmed, "the member is being added"))
 }
 
-// updateVoters promotes learners to voters, one at a time, and removes a voter
-// that has been silent for replaceAfter first. The replicator refuses learners
-// that have not caught up.
-func (c *core) updateVoters(now modeler.ClockReading) {
-	if c.controller.settings.Flows == nil {
-		return
+// releaseMember notes that a member is about to stop, so that a learner takes its
+// place. The reply is of the kind Unconfirmed until that is done.
+func (c *core) releaseMember(now modeler.ClockReading, id modeler.MemberID) modeler.Reply {
+	if id == c.controller.settings.Member || c.log.Transferring() {
+		return errorReply(classifier.New(classifier.NoLeader, "this member is about to stop"))
 	}
+	if _, known := c.leader.leaving[id]; !known {
+		c.controller.settings.Report.Info("member leaves", "member", id)
+	}
+	c.leader.leaving[id] = now
+	c.updateVoters(now)
 	status := c.log.Status()
-	for _, p := range status.Progress {
-		if !p.Member.Learner || !p.Answered {
+	isVoter := slices.ContainsFunc(status.Members.Members, func(m modeler.Member) bool { return m.ID == id && !m.Learner })
+	// A learner that doesn't answer a new leader yet may be about to.
+	hasSuccessor := slices.ContainsFunc(status.Progress, func(p replicator.Progress) bool { return p.Member.Learner && silence(now, &p) == 0 })
+	if c.pendingMembers() || isVoter && hasSuccessor {
+		return errorReply(classifier.New(classifier.Unconfirmed, "the member is being replaced"))
+	}
+	return modeler.Reply{}
+}
+
+// leavingMembers returns the members that are about to stop. After ReplaceAfter,
+// their silence tells whether they have come back.
+func (l *leadership) leavingMembers(now modeler.ClockReading) []modeler.MemberID {
+	var leaving []modeler.MemberID
+	for id, since := range l.leaving {
+		if now.Sub(since) > l.core.controller.settings.Voters.ReplaceAfter {
+			delete(l.leaving, id)
 			continue
 		}
-		if silent := silentVoter(now, status.Progress); silent != 0 {
-			c.proposeMembership(now, status.Members, "member removed", silent, func(m modeler.Member) (modeler.Member, bool) { return m, m.ID != silent })
-			return
-		}
-		id := p.Member.ID
-		c.proposeMembership(now, status.Members, "member votes", id, func(m modeler.Member) (modeler.Member, bool) {
-			m.Learner = m.Learner && m.ID != id
-			return m, true
-		})
-		return
+		leaving = append(leaving, id)
 	}
+	return leaving
 }
 
-// silentVoter returns a voter that has not answered for replaceAfter, or 0.
-func silentVoter(now modeler.ClockReading, progress []replicator.Progress) modeler.MemberID {
-	for _, p := range progress {
-		if !p.Member.Learner && p.Answered && now.Sub(p.LastContact) > replaceAfter {
-			return p.Member.ID
-		}
+// updateVoters proposes the next change of the members. If it is refused, the
+// next tick tries again.
+func (c *core) updateVoters(now modeler.ClockReading) {
+	if c.controller.settings.Flows == nil {
+		return
+	}
+	if change, due := c.controller.settings.Voters.Next(now, c.log.Status(), c.leader.leavingMembers(now)); due {
+		_ = c.proposeMembership(now, change)
 	}
-	return 0
 }
 
-// proposeMembership proposes the members that keep returns. If that is refused,
-// the next tick tries again.
-func (c *core) proposeMembership(now modeler.ClockReading, from modeler.Membership, event string, id modeler.MemberID, keep func(modeler.Member) (modeler.Member, bool)) {
-	var next modeler.Membership
-	for _, m := range from.Members {
-		if kept, ok := keep(m); ok {
-			next.Members = append(next.Members, kept)
+// proposeMembership proposes a change of the membership.
+func (c *core) proposeMembership(now modeler.ClockReading, change reconfigurer.Change) error {
+	changed := modeler.Member{ID: change.Member}
+	for _, m := range slices.Concat(c.log.Summary().Members.Members, change.Members.Members) {
+		if m.ID == change.Member {
+			changed = m
 		}
 	}
-	if err := c.log.ChangeMembers(now, next); err == nil {
-		c.controller.settings.Report.Info(event, "member", id, "members", len(next.Members))
-	}
+	err := c.log.ChangeMembers(now, change.Members)
+	c.reportChange(now, changeEvents[change.Kind], changed, err, "reason", change.Reason, "members", len(change.Members.Members))
+	return err
 }
--- a/controller/leadership.go
+++ b/controller/leadership.go
@@ -42,6 +42,11 @@
 	replacements   replacements
 	// flows is nil if the process runs no flows.
 	flows *flowLeadership
+	// leaving has the members that are about to stop, with the reading at which
+	// they have said so.
+	leaving map[modeler.MemberID]modeler.ClockReading
+	// silentMembers has the members whose silence is logged.
+	silentMembers map[modeler.MemberID]bool
 }
 
 // workerView is what the status reports about a worker.
@@ -64,6 +69,9 @@
 		needsPlacement: true,
 
 		replacements: newReplacements(),
+
+		leaving:       make(map[modeler.MemberID]modeler.ClockReading),
+		silentMembers: make(map[modeler.MemberID]bool),
 	}
 	for _, team := range c.state.Cell().Teams {
 		l.cell.SetTeam(now, team)
@@ -103,6 +111,7 @@
 		l.flows.updateLoad(now)
 		l.flows.cell.Tick(now, l.core.logTime())
 	}
+	l.watchMembers(now)
 	l.core.updateVoters(now)
 	l.proposeReplacements(now)
 	l.needsPlacement = true
--- a/controller/links.go
+++ b/controller/links.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"goldcreststack.example/goldcreststack/linker"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/reporter"
@@ -21,18 +23,27 @@
 	defer l.Close()
 	if l.Peer.Member != 0 {
 		c.peers.redial(l.Peer.Member)
+		c.peers.addAccepted(l)
 		c.servePeer(ctx, l)
+		c.peers.removeAccepted(l)
 		return
 	}
 	c.serveEntry(ctx, l)
 }
 
+// servePeer takes the messages of another member until the link closes or ctx
+// ends.
 func (c *Controller) servePeer(ctx context.Context, l *linker.Link) {
-	for m := range l.Receive() {
-		if m.Kind != modeler.PeerMessageKind || m.Peer == nil {
-			continue
-		}
-		if !c.post(ctx, peerMessage{message: *m.Peer}) {
+	for {
+		select {
+		case m, open := <-l.Receive():
+			if !open {
+				return
+			}
+			if m.Kind == modeler.PeerMessageKind && m.Peer != nil && !c.post(ctx, peerMessage{message: *m.Peer}) {
+				return
+			}
+		case <-ctx.Done():
 			return
 		}
 	}
@@ -50,29 +61,44 @@
 	c.post(ctx, entryLinkDown{link: l})
 }
 
+// maxUnsent bounds the members without a known address that are remembered.
+const maxUnsent = 64
+
 // peerLinks keeps one outgoing link to every other member.
 type peerLinks struct {
 	self    modeler.MemberID
 	report  *reporter.Reporter
+	dropped *metrics.Counter
 	seeds   []modeler.Member
 	changed chan struct{}
+	// serve takes the messages that come over an outgoing link.
+	serve func(ctx context.Context, l *linker.Link)
 
 	mu      sync.Mutex
 	members []modeler.Member
 	links   map[string]*linker.Link
+	// accepted has the newest link that each member has opened to this one.
+	accepted map[modeler.MemberID]*linker.Link
 	// redials has a channel for each address that ends the wait before its next
 	// dial.
 	redials map[string]chan struct{}
+	// unsent limits the lines about messages to members without a known address;
+	// only the core goroutine uses it.
+	unsent map[modeler.MemberID]*repeatLimit
 }
 
-func newPeerLinks(self modeler.MemberID, seeds []modeler.Member, report *reporter.Reporter) *peerLinks {
+func newPeerLinks(self modeler.MemberID, seeds []modeler.Member, report *reporter.Reporter, serve func(context.Context, *linker.Link)) *peerLinks {
 	return &peerLinks{
-		self:    self,
-		report:  report,
-		seeds:   seeds,
-		changed: make(chan struct{}, 1),
-		links:   make(map[string]*linker.Link),
-		redials: make(map[string]chan struct{}),
+		self:     self,
+		report:   report,
+		dropped:  report.Counter("member_messages_dropped_total"),
+		seeds:    seeds,
+		changed:  make(chan struct{}, 1),
+		serve:    serve,
+		links:    make(map[string]*linker.Link),
+		accepted: make(map[modeler.MemberID]*linker.Link),
+		redials:  make(map[string]chan struct{}),
+		unsent:   make(map[modeler.MemberID]*repeatLimit),
 	}
 }
 
@@ -120,19 +146,61 @@
 	return out
 }
 
-// send sends a message to the member that it names; the message is dropped if
-// there is no link.
-func (p *peerLinks) send(m *modeler.PeerMessage) {
+// addAccepted offers a link that another member has opened for sending.
+func (p *peerLinks) addAccepted(l *linker.Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.accepted[l.Peer.Member] = l
+}
+
+func (p *peerLinks) removeAccepted(l *linker.Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.accepted[l.Peer.Member] == l {
+		delete(p.accepted, l.Peer.Member)
+	}
+}
+
+// send sends a message to the member that it names, over the link that the
+// member has opened if there is no outgoing one: a new member doesn't know the
+// leader's address yet. The message is dropped if there is no link.
+func (p *peerLinks) send(now modeler.ClockReading, m *modeler.PeerMessage) {
 	p.mu.Lock()
-	var l *linker.Link
+	l, known := p.accepted[m.To]
 	for _, member := range p.otherMembers() {
-		if member.ID == m.To {
-			l = p.links[member.Address]
+		if member.ID != m.To {
+			continue
+		}
+		known = true
+		if outgoing := p.links[member.Address]; outgoing != nil {
+			l = outgoing
 		}
 	}
 	p.mu.Unlock()
 	if l != nil {
 		l.Send(&modeler.Message{Kind: modeler.PeerMessageKind, Peer: m})
+		return
+	}
+	p.dropped.Inc()
+	if !known {
+		p.reportUnsent(now, m)
+	}
+}
+
+// reportUnsent logs that a message has no receiver: the newest membership in the
+// log of this member, or its settings before it has one, does not hold it, and it
+// has opened no link.
+func (p *peerLinks) reportUnsent(now modeler.ClockReading, m *modeler.PeerMessage) {
+	limit := p.unsent[m.To]
+	if limit == nil {
+		if len(p.unsent) >= maxUnsent {
+			clear(p.unsent)
+		}
+		limit = &repeatLimit{}
+		p.unsent[m.To] = limit
+	}
+	if ok, skipped := limit.allow(now, m.Kind.String()); ok {
+		p.report.Info("member has no known address", "member", m.To, "kind", m.Kind.String(), "term", m.Term, "skipped", skipped)
 	}
 }
 
@@ -196,7 +264,7 @@
 	keeper.Run(ctx)
 }
 
-// useLink offers the link for sending until it closes.
+// useLink offers the link for sending, and serves it until it closes.
 func (p *peerLinks) useLink(ctx context.Context, address string, l *linker.Link) {
 	p.mu.Lock()
 	p.links[address] = l
@@ -210,14 +278,5 @@
 		}
 		p.mu.Unlock()
 	}()
-	for {
-		select {
-		case _, open := <-l.Receive():
-			if !open {
-				return
-			}
-		case <-ctx.Done():
-			return
-		}
-	}
+	p.serve(ctx, l)
 }
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -13,6 +13,7 @@
 	"runtime/debug"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -27,6 +28,7 @@
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/platform"
 	"goldcreststack.example/goldcreststack/pruner"
+	"goldcreststack.example/goldcreststack/reconfigurer"
 	"goldcreststack.example/goldcreststack/relayer"
 	"goldcreststack.example/goldcreststack/reporter"
 	"goldcreststack.example/goldcreststack/storer"
@@ -50,6 +52,13 @@
 	shutdownTimeout = 1500 * time.Millisecond
 	// joinInterval is the time between two requests to join the group.
 	joinInterval = 300 * time.Millisecond
+	// joinReportInterval is the longest time between two lines about requests to
+	// join that get the same answer.
+	joinReportInterval = 5 * time.Second
+	// leaveTimeout bounds the time for which a stopping control process waits for a
+	// successor, and leaveInterval is the time between two requests for one.
+	leaveTimeout  = 1500 * time.Millisecond
+	leaveInterval = 20 * time.Millisecond
 	// settingsPollInterval is the time between two reads of the settings file,
 	// which may change without a signal.
 	settingsPollInterval = 2 * time.Second
@@ -264,6 +273,8 @@
 		settings.Member = modeler.MemberID(rand.Uint64()>>1 | 1)
 	}
 	settings.Join = !settings.Bootstrap
+	// The other half of the time is left for an election and for the learner.
+	settings.Voters = reconfigurer.Policy{Tolerance: node.Tolerance, ReplaceAfter: node.CatchUp / 2}
 	return settings, nil
 }
 
@@ -284,8 +295,9 @@
 }
 
 // run serves the handlers until ctx ends. It then stops in this order: readiness
-// fails, an entry process waits drainDelay, the controller stops, the servers
-// finish their requests, the links close.
+// fails, an entry process waits drainDelay, a control process leaves the group,
+// the controller stops, the servers finish their requests, the links close. If a server or the controller fails, it
+// returns the error without waiting for requests.
 func (p *process) run(ctx context.Context, c *controller.Controller, handlers map[string]http.Handler) error {
 	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
@@ -324,12 +336,17 @@
 	if c != nil {
 		p.relay.KeepLinks(serveCtx, []string{p.node.LinkAddress})
 		group.Go(func() error { return c.Run(memberCtx) })
-		group.Go(func() error { return p.joinGroup(serveCtx, c) })
+		group.Go(func() error { return p.joinGroup(memberCtx, c) })
 	}
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
 		case <-serveCtx.Done():
+			// A part of the process has failed. Without it the process must end, so
+			// that the platform starts it again.
+			for _, server := range servers {
+				_ = server.Close()
+			}
 			return nil
 		}
 		p.report.Info("process stops", "grace", p.node.GracePeriod.String())
@@ -337,14 +354,21 @@
 		if c == nil {
 			time.Sleep(drainDelay)
 		}
+		if c != nil {
+			p.leaveGroup(serveCtx, c)
+		}
 		stopMember()
 		shutdownCtx, cancel := context.WithTimeout(serveCtx, shutdownTimeout)
 		defer cancel()
+		var stops sync.WaitGroup
 		for _, server := range servers {
-			if err := server.Shutdown(shutdownCtx); err != nil {
-				p.report.Warn("requests were cut off", "error", err)
-			}
+			stops.Go(func() {
+				if err := server.Shutdown(shutdownCtx); err != nil {
+					p.report.Warn("requests were cut off", "error", err)
+				}
+			})
 		}
+		stops.Wait()
 		stopServing()
 		return nil
 	})
@@ -359,11 +383,25 @@
 // joinGroup asks to be admitted to the group as long as the process is not a
 // member.
 func (p *process) joinGroup(ctx context.Context, c *controller.Controller) error {
+	// The process asks several times a second until it belongs to the group, so
+	// the same answer is logged once every joinReportInterval.
+	var begun, logged time.Time
+	lastAnswer, requests := "", 0
 	for {
-		if !c.Joined() {
+		if c.Joined() {
+			lastAnswer, requests = "", 0
+		} else {
 			m := modeler.Member{ID: c.Member(), Address: p.node.LinkAddress}
 			_, err := p.relay.Call(ctx, &modeler.Call{Kind: modeler.JoinCall, Member: &m})
-			p.report.Info("admission asked", "member", m.ID, "answer", classifier.KindOf(err).String())
+			now, answer := time.Now(), classifier.KindOf(err).String()
+			if requests == 0 {
+				begun = now
+			}
+			requests++
+			if answer != lastAnswer || now.Sub(logged) >= joinReportInterval {
+				lastAnswer, logged = answer, now
+				p.report.Info("admission asked", "member", m.ID, "answer", answer, "requests", requests, "since", now.Sub(begun).String())
+			}
 		}
 		select {
 		case <-time.After(joinInterval):
@@ -373,6 +411,27 @@
 	}
 }
 
+// leaveGroup tells the leader that the process stops, so that a waiting learner
+// takes its place, and waits until that is done. It isn't known whether the
+// process is replaced or comes back; without a learner its place is kept.
+func (p *process) leaveGroup(ctx context.Context, c *controller.Controller) {
+	if !c.CanBeReplaced() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	c.HandOver(ctx)
+	m := modeler.Member{ID: c.Member(), Address: p.node.LinkAddress}
+	for {
+		_, err := p.relay.Call(ctx, &modeler.Call{Kind: modeler.LeaveCall, Member: &m})
+		if classifier.KindOf(err) != classifier.Unconfirmed || ctx.Err() != nil {
+			p.report.Info("leave announced", "member", m.ID, "answer", classifier.KindOf(err).String())
+			return
+		}
+		time.Sleep(leaveInterval)
+	}
+}
+
 // watchSettings reloads the seeds on SIGHUP and whenever those in the settings
 // file have changed.
 func (p *process) watchSettings(ctx context.Context) error {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -188,6 +188,8 @@
 	votesRequestedAt modeler.ClockReading
 	voteRound        uint64
 	grantedBy        []modeler.MemberID
+	refusedBy        []modeler.MemberID
+	lostElection     LostElection
 
 	// matched is the last entry known to equal the current leader's.
 	matched modeler.Index
@@ -385,6 +387,9 @@
 	case !r.isEligible():
 		return
 	case r.now >= r.electionDeadline:
+		if r.role != Follower {
+			r.recordLostElection()
+		}
 		r.resetElectionDeadline()
 		r.startPreVote()
 	case r.role != Follower && r.now.Sub(r.votesRequestedAt) >= r.cfg.Heartbeat/voteRequestsPerHeartbeat:
@@ -509,6 +514,11 @@
 	// member has answered. It has a meaning only if Answered is set.
 	LastContact modeler.ClockReading
 	Answered    bool
+	// SilentSince is LastContact, or the leader's reading when it began to send to
+	// the member if the member has not answered since.
+	SilentSince modeler.ClockReading
+	// CaughtUp is set for a learner that can be promoted.
+	CaughtUp bool
 }
 
 // Status describes the member for operators.
@@ -520,6 +530,12 @@
 	Last    modeler.Index
 	Synced  modeler.Index
 	Members modeler.Membership
+	// LeaderContact is when a member that doesn't lead last answered a leader, or
+	// started.
+	LeaderContact modeler.ClockReading
+	// LostElection is the newest election that the member has started and not won.
+	// The caller must not change its lists.
+	LostElection LostElection
 	// Progress has an element for each other member on a leader, and is empty on
 	// the other roles.
 	Progress []Progress
@@ -535,6 +551,8 @@
 			Match:       p.match,
 			LastContact: p.lastContact,
 			Answered:    p.lastContact != never,
+			SilentSince: max(p.lastContact, p.since),
+			CaughtUp:    p.member.Learner && r.checkPromotion(p.member.ID) == nil,
 		})
 	}
 	return status
@@ -551,5 +569,8 @@
 		Last:    r.log.last,
 		Synced:  r.synced,
 		Members: r.currentMembership(),
+
+		LeaderContact: r.answeredLeaderAt,
+		LostElection:  r.lostElection,
 	}
 }
