--- a/cmd/goldcreststack/entry_test.go
+++ b/cmd/goldcreststack/entry_test.go
@@ -1,11 +1,14 @@
 package main_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -17,6 +20,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"goldcreststack.example/goldcreststack/loader"
 	"goldcreststack.example/goldcreststack/worker"
 )
 
@@ -39,8 +43,7 @@
 	return b
 }
 
-// probe checks the readiness of an entry host every 40 ms, which is five times in
-// the drain delay of 200 ms.
+// probe checks the readiness of an entry host every 40 ms.
 func (b *balancer) probe(ctx context.Context, entryAddress string) {
 	client := &http.Client{Timeout: 200 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 	for ctx.Err() == nil {
@@ -56,31 +59,55 @@
 	}
 }
 
+// nextReady returns the next entry host whose last check succeeded, and waits until
+// there is one.
 func (b *balancer) nextReady() string {
+	for {
+		if entryAddress, ready := b.nextEntry(); ready {
+			return entryAddress
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (b *balancer) nextEntry() (entryAddress string, ready bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for {
-		entryAddress := b.s.entryAddresses[b.next.Add(1)%uint64(len(b.s.entryAddresses))]
+	for range b.s.entryAddresses {
+		entryAddress = b.s.entryAddresses[b.next.Add(1)%uint64(len(b.s.entryAddresses))]
 		if b.ready[entryAddress] {
-			return entryAddress
+			return entryAddress, true
 		}
 	}
+	return entryAddress, false
 }
 
 // Guards against a rolling restart of all entry hosts that interrupts or refuses a
 // request. The hosts are drained and restarted one after the other under load.
 func TestRollingRestartUnderLoad(t *testing.T) {
-	s := newSystem(t, kitahama, 3, 7, 6)
+	shape := kitahama
+	// The balancer shares the machine with the system, and a request that it has
+	// sent on its way must arrive within the drain delay.
+	shape.drainDelay = loader.DefaultDrainDelay
+	s := newSystem(t, shape, 3, 7, 6)
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	b := newBalancer(ctx, s)
 	var served, failed atomic.Int64
 	var group sync.WaitGroup
-	for range 16 {
+	for i := range 24 {
 		group.Go(func() {
 			for ctx.Err() == nil {
 				text := fmt.Sprint(rand.Uint64())
-				answer, err := b.client.Post("http://"+b.nextReady()+"/v1/services/"+s.shape.service+"/x", "text/plain", strings.NewReader(text))
+				begin, entryAddress := time.Now(), b.nextReady()
+				request, err := http.NewRequest(http.MethodPost, "http://"+entryAddress+"/v1/services/"+s.shape.service+"/x", strings.NewReader(text))
+				assert.Check(t, err)
+				if i >= 16 {
+					// These requests outlast the drain delay.
+					request.Header.Set(worker.FaultHeader, string(worker.FaultSlow))
+					request.Header.Set(worker.DelayHeader, (shape.drainDelay + 500*time.Millisecond).String())
+				}
+				answer, err := b.client.Do(request)
 				if err != nil {
 					failed.Add(1)
 					t.Logf("%v", err)
@@ -90,7 +117,7 @@
 				_ = answer.Body.Close()
 				if err != nil || answer.StatusCode != http.StatusOK || !bytes.Contains(body, []byte(worker.DigestOf([]byte(text)))) {
 					failed.Add(1)
-					t.Logf("status %d %s %v", answer.StatusCode, body, err)
+					t.Logf("%s after %s: status %d %s %v", entryAddress, time.Since(begin), answer.StatusCode, body, err)
 				}
 				served.Add(1)
 			}
@@ -109,6 +136,85 @@
 	assert.Assert(t, served.Load() > 1000)
 }
 
+// keepAliveConn is a caller's connection to an entry host that stays open between
+// requests.
+type keepAliveConn struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (s *system) dialEntry(entryAddress string) *keepAliveConn {
+	s.t.Helper()
+	conn, err := net.Dial("tcp", entryAddress)
+	assert.NilError(s.t, err)
+	s.t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(s.t, conn.SetDeadline(time.Now().Add(startTimeout)))
+	return &keepAliveConn{Conn: conn, reader: bufio.NewReader(conn)}
+}
+
+func (c *keepAliveConn) send(service, text string) error {
+	_, err := fmt.Fprintf(c, "POST /v1/services/%s/x HTTP/1.1\r\nHost: front\r\nContent-Length: %d\r\n\r\n%s", service, len(text), text)
+	return err
+}
+
+// receive reads an answer and returns an error unless it is a worker's answer to
+// the text.
+func (c *keepAliveConn) receive(text string) error {
+	answer, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	if err == nil && (answer.StatusCode != http.StatusOK || !bytes.Contains(body, []byte(worker.DigestOf([]byte(text))))) {
+		err = fmt.Errorf("status %d %s", answer.StatusCode, body)
+	}
+	return err
+}
+
+// Guards against a graceful shutdown that cuts off requests which have arrived, on
+// new or on open connections, but which a busy host hasn't read yet. The process is
+// paused so that it reads them only when the drain delay is over.
+func TestShutdownServesUnreadRequests(t *testing.T) {
+	shape := kitahama
+	shape.drainDelay = 2 * time.Second
+	s := newSystem(t, shape, 1, 1, 2)
+	entry, entryAddress := s.entries[0], s.entryAddresses[0]
+	var conns []*keepAliveConn
+	for range 8 {
+		conn := s.dialEntry(entryAddress)
+		assert.NilError(t, conn.send(s.shape.service, "first"))
+		assert.NilError(t, conn.receive("first"))
+		conns = append(conns, conn)
+	}
+	stopTime := time.Now()
+	entry.signal(syscall.SIGTERM)
+	s.await(shape.drainDelay, "readiness fails", func() error {
+		if s.check(entryAddress, "/readyz") == nil {
+			return errors.New("ready")
+		}
+		return nil
+	})
+	entry.suspend()
+	for range 8 {
+		conns = append(conns, s.dialEntry(entryAddress))
+	}
+	for i, conn := range conns {
+		assert.NilError(t, conn.send(s.shape.service, fmt.Sprint(i)))
+	}
+	time.Sleep(time.Until(stopTime.Add(shape.drainDelay + 100*time.Millisecond)))
+	entry.signal(syscall.SIGCONT)
+	failed := 0
+	for i, conn := range conns {
+		if err := conn.receive(fmt.Sprint(i)); err != nil {
+			failed++
+			t.Logf("connection %d: %v", i, err)
+		}
+	}
+	assert.Equal(t, failed, 0)
+	assert.NilError(t, entry.wait(startTimeout), "a drained entry host ends without an error")
+}
+
 // Guards against a second run of a request that must not be repeated. Callers
 // resend each key through other entry hosts while entry hosts and control
 // processes are killed and restarted or paused at random.
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -25,6 +25,7 @@
 	"goldcreststack.example/goldcreststack/clocker"
 	"goldcreststack.example/goldcreststack/controller"
 	"goldcreststack.example/goldcreststack/dispatcher"
+	"goldcreststack.example/goldcreststack/drainer"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/platform"
 	"goldcreststack.example/goldcreststack/pruner"
@@ -309,16 +310,22 @@
 		OnClosed:       p.report.Counter("connections_closed_unused_total").Inc,
 	}
 	var servers []*http.Server
+	var listeners []*drainer.Listener
 	for address, handler := range handlers {
-		listener, err := net.Listen("tcp", address)
+		bound, err := net.Listen("tcp", address)
 		if err != nil {
 			return classifier.Wrap(classifier.Internal, err, "listen on "+address)
 		}
+		listener := drainer.NewListener(bound)
+		listeners = append(listeners, listener)
 		server := &http.Server{
 			Handler:           handler,
 			ReadHeaderTimeout: 3 * time.Second,
-			ConnState:         connPruner.ConnState,
-			ErrorLog:          log.New(httpErrorLog{p.report}, "", 0),
+			ConnState: func(conn net.Conn, state http.ConnState) {
+				listener.ConnState(conn, state)
+				connPruner.ConnState(conn, state)
+			},
+			ErrorLog: log.New(httpErrorLog{p.report}, "", 0),
 		}
 		servers = append(servers, server)
 		group.Go(func() error {
@@ -328,7 +335,7 @@
 			return nil
 		})
 	}
-	p.relay.KeepLinks(serveCtx, p.node.Seeds)
+	p.relay.SetSeeds(serveCtx, p.node.Seeds)
 	group.Go(func() error { return p.relay.Run(serveCtx) })
 	group.Go(func() error { return p.watchSettings(serveCtx) })
 	memberCtx, stopMember := context.WithCancel(serveCtx)
@@ -353,16 +360,20 @@
 		p.stopping.Store(true)
 		if c == nil {
 			time.Sleep(drainDelay)
-		}
-		if c != nil {
+		} else {
 			p.leaveGroup(serveCtx, c)
 		}
 		stopMember()
 		shutdownCtx, cancel := context.WithTimeout(serveCtx, shutdownTimeout)
 		defer cancel()
+		// Leaves the other half of the time to requests that are being served.
+		readCtx, stopReading := context.WithTimeout(shutdownCtx, shutdownTimeout/2)
+		defer stopReading()
 		var stops sync.WaitGroup
-		for _, server := range servers {
+		for i, server := range servers {
+			listener := listeners[i]
 			stops.Go(func() {
+				listener.WaitUntilRead(readCtx)
 				if err := server.Shutdown(shutdownCtx); err != nil {
 					p.report.Warn("requests were cut off", "error", err)
 				}
@@ -458,7 +469,7 @@
 		if signalled || !slices.Equal(node.Seeds, seeds) {
 			p.report.Info("settings reloaded", "signal", signalled, "seeds", node.Seeds)
 			seeds = node.Seeds
-			p.relay.KeepLinks(ctx, seeds)
+			p.relay.SetSeeds(ctx, seeds)
 		}
 	}
 }
