--- a/cmd/goldcreststack/returning_test.go
+++ b/cmd/goldcreststack/returning_test.go
@@ -182,3 +182,15 @@
 	leader = f.leader()
 	f.replaceLost(f.oldest(1, leader), leader)
 }
+
+// Guards against a vote that goes with its host although a successor has come long before: the next loss is allowed at once.
+func TestPlannedDepartureLeavesRoomForLoss(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	leader := f.leader()
+	began := time.Now()
+	f.add(1, leader)
+	time.Sleep(time.Until(began.Add(catchUp)))
+	others := f.oldest(2, leader)
+	f.stopInOrder(others[0])
+	f.replaceLost(others[1:], leader)
+}
