forwarder: an incomplete head holds up a shutdown for at most 5 s

Cause: since the shutdown waits for requests that have begun to arrive, a caller that sends a stray line end after a request, as some do, held it up for half of the grace: the server takes it for the beginning of the next request until its idle timeout of 2 minutes.

Change: the wait is also bounded by the time that a head may take, 5 s.

--- a/forwarder/caller_test.go
+++ b/forwarder/caller_test.go
@@ -17,6 +17,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"goldcreststack.example/goldcreststack/forwarder"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/worker"
 )
@@ -232,6 +233,32 @@
 	}
 }
 
+// Guards against a shutdown that waits for most of its grace because a caller has
+// sent a stray line end after a request.
+func TestStrayLineEndDoesNotHoldUpShutdown(t *testing.T) {
+	front := listen(t)
+	entry := forwarder.New(forwarder.Settings{Entry: "entry-1", DrainGrace: 30 * time.Second, Report: quietReport("entry"), Listener: front})
+	ended := make(chan error, 1)
+	go func() { ended <- entry.Run(t.Context()) }()
+	conn, err := net.Dial("tcp", front.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /metrics HTTP/1.1\r\nHost: front\r\n\r\n")
+	assert.NilError(t, err)
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, answer.Body)
+	assert.NilError(t, err)
+	time.Sleep(50 * time.Millisecond) // the connection becomes idle
+	_, err = io.WriteString(conn, "\r\n")
+	assert.NilError(t, err)
+	begin := time.Now()
+	entry.Drain()
+	assert.NilError(t, <-ended)
+	// The head of a request may take 5 s.
+	assert.Assert(t, time.Since(begin) < 10*time.Second, "took %s", time.Since(begin))
+}
+
 // shortContext returns a context that ends after 100 ms.
 func shortContext(t *testing.T) context.Context {
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -27,6 +27,8 @@
 	eventQueueSize = 8192
 	// settlementQueueSize bounds the settlements that wait to be recorded.
 	settlementQueueSize = 4096
+	// readHeaderTimeout bounds the time in which the head of a request arrives.
+	readHeaderTimeout = 5 * time.Second
 	// maxBudgetCallers bounds the callers whose retries are counted.
 	maxBudgetCallers = 10_000
 )
@@ -152,7 +154,7 @@
 	server := &http.Server{
 		Handler:           f.Handler(),
 		ConnState:         listener.ConnState,
-		ReadHeaderTimeout: 5 * time.Second,
+		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       2 * time.Minute,
 	}
 	f.register(serveCtx)
@@ -196,8 +198,8 @@
 	remaining := f.settings.DrainGrace - time.Since(startedAt)
 	graceCtx, cancel := context.WithTimeout(ctx, max(remaining, 0))
 	defer cancel()
-	// Leaves the other half of the grace to requests that are being served.
-	readCtx, stopReading := context.WithTimeout(graceCtx, max(remaining, 0)/2)
+	// At least half of the grace is left to requests that are being served.
+	readCtx, stopReading := context.WithTimeout(graceCtx, min(readHeaderTimeout, max(remaining, 0)/2))
 	defer stopReading()
 	listener.WaitUntilRead(readCtx)
 	if err := server.Shutdown(graceCtx); err != nil {
