--- a/reconfigurer/reconfigurer.go
+++ b/reconfigurer/reconfigurer.go
@@ -136,41 +136,69 @@
 	return answering >= Quorum(voters)
 }
 
+// next returns the change that is due, whether it can be committed now or not.
 func (p Policy) next(now modeler.ClockReading, status replicator.Status, leaving []modeler.MemberID) (Change, bool) {
-	members := status.Members
-	for _, m := range status.Progress {
-		if m.Member.Learner && now.Sub(m.SilentSince) > forgetAfter {
-			return remove(members, m.Member.ID, "the learner is silent"), true
-		}
+	if gone := forgottenLearner(now, status); gone != 0 {
+		return remove(status.Members, gone, "the learner is silent"), true
 	}
-	voters := countVoters(members)
-	if gone := supersededVoter(members); gone != 0 && p.mayRemove(voters) {
-		return remove(members, gone, "its host has come back without its disk"), true
+	voters := countVoters(status.Members)
+	if gone := supersededVoter(status.Members); gone != 0 && p.mayRemove(voters) {
+		return remove(status.Members, gone, "its host has come back without its disk"), true
 	}
-	silent, ready := p.silentVoters(now, status), readyLearners(status)
-	stopping := leavingVoters(status, leaving)
-	isEven := voters%2 == 0
+	silent, ready, stopping := p.silentVoters(now, status), readyLearners(status), leavingVoters(status, leaving)
+	if voters%2 == 0 {
+		return p.nextOfEven(status.Members, voters, silent, ready, stopping)
+	}
+	return p.nextOfOdd(status.Members, voters, silent, ready, stopping)
+}
+
+// nextOfEven makes an even number of voters odd, since it bears no more losses
+// than the odd number below it.
+func (p Policy) nextOfEven(members modeler.Membership, voters int, silent, ready, stopping []modeler.MemberID) (Change, bool) {
 	switch {
-	case len(silent) > 0 && isEven && p.mayRemove(voters):
-		return remove(members, silent[0], "the voter is silent, and the others are an odd number"), true
-	// A voter that is about to stop still answers, so its successor votes first.
-	case len(stopping) > 0 && isEven && p.mayRemove(voters):
+	case len(silent) > 0 && p.mayRemove(voters):
+		return remove(members, silent[0], "the voter is silent"), true
+	case len(stopping) > 0 && p.mayRemove(voters):
 		return remove(members, stopping[0], "the voter is about to stop"), true
-	case len(stopping) > 0 && len(ready) > 0 && !isEven && voters-len(silent) >= Quorum(voters+1):
+	case len(ready) > 0 && voters < p.mostVoters():
+		return promote(members, ready[0]), true
+	default:
+		return Change{}, false
+	}
+}
+
+// nextOfOdd begins a change of an odd number of voters, which nextOfEven
+// completes: an exchange, or a change by two voters. A silent voter is removed
+// before its successor votes, so that no commit needs both. A voter that is about
+// to stop still answers, so its successor votes first.
+func (p Policy) nextOfOdd(members modeler.Membership, voters int, silent, ready, stopping []modeler.MemberID) (Change, bool) {
+	bearsPromotion := voters-len(silent) >= Quorum(voters+1)
+	switch {
+	case len(stopping) > 0 && len(ready) > 0 && bearsPromotion:
 		return promote(members, ready[0]), true
-	case len(ready) > 0 && (isEven || voters < p.fewestVoters()) && voters < p.mostVoters():
+	case len(ready) > 0 && voters < p.fewestVoters():
 		return promote(members, ready[0]), true
-	case len(silent) > 0 && len(ready) > 0 && !isEven:
+	case len(silent) > 0 && len(ready) > 0:
 		return remove(members, silent[0], "the voter is silent, and a learner can take its place"), true
-	case len(silent) > 1 && !isEven && voters-2 >= p.fewestVoters():
+	case len(silent) > 1 && voters-2 >= p.fewestVoters():
 		return remove(members, silent[0], "several voters are silent"), true
-	case len(ready) > 1 && !isEven && voters+2 <= p.mostVoters() && voters-len(silent) >= Quorum(voters+1):
+	case len(ready) > 1 && voters+2 <= p.mostVoters() && bearsPromotion:
 		return promote(members, ready[0]), true
 	default:
 		return Change{}, false
 	}
 }
 
+// forgottenLearner returns a learner that has been silent for forgetAfter, or 0.
+func forgottenLearner(now modeler.ClockReading, status replicator.Status) modeler.MemberID {
+	for _, m := range status.Progress {
+		if m.Member.Learner && now.Sub(m.SilentSince) > forgetAfter {
+			return m.Member.ID
+		}
+	}
+	return 0
+}
+
 // silentVoters returns the voters that have not answered for ReplaceAfter, the
 // longest silent one first. One that has not answered this leader at all was
 // silent during the election too, so half of the time is enough.
