linker: notice a suspension between two reads

Callers could have met it as an order or a permission that had expired while the host was suspended.

Cause: the silence was measured from the start of the read. A host that is suspended after a message was handed over and before the next read begins measures no silence, so the messages that waited in the connection are taken.

Change: the silence counts from the last message.

--- a/linker/keeper_test.go
+++ b/linker/keeper_test.go
@@ -164,3 +164,40 @@
 	assert.Assert(t, !open, "a message was taken after a suspension of three seconds")
 	close(send)
 }
+
+// Guards against messages that are taken after a suspension which began while the
+// link wasn't waiting for one.
+func TestSuspensionBetweenReadsIsNoticed(t *testing.T) {
+	accepting := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		l, err := linker.Accept(w, r, modeler.Hello{Member: 2})
+		if err != nil {
+			return
+		}
+		l.Send(&modeler.Message{Kind: modeler.QueryMessage})
+		<-l.Done()
+	}))
+	defer accepting.Close()
+	var readings atomic.Int64
+	up := make(chan *linker.Link, 1)
+	keeper := linker.Keeper{
+		Address: strings.TrimPrefix(accepting.URL, "http://"),
+		Hello:   func() modeler.Hello { return modeler.Hello{Member: 1} },
+		OnLink: func(ctx context.Context, l *linker.Link) {
+			up <- l
+			<-ctx.Done()
+		},
+		// The host is suspended right after the link has opened.
+		Clock: func() modeler.ClockReading {
+			if readings.Add(1) == 1 {
+				return 0
+			}
+			return modeler.ClockReading(3 * time.Second)
+		},
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go keeper.Run(ctx)
+	l := <-up
+	_, open := <-l.Receive()
+	assert.Assert(t, !open, "a message was taken after a suspension of three seconds")
+}
--- a/linker/link.go
+++ b/linker/link.go
@@ -176,10 +176,11 @@
 	defer watchdog.Stop()
 	for {
 		watchdog.Reset(silenceTimeout)
-		readStart := l.clock()
 		m, err := l.readMessage(context.Background())
 		watchdog.Stop()
-		if err != nil || l.clock().Sub(readStart) > silenceTimeout {
+		// The silence counts from the last message, not from the start of the read:
+		// the host may be suspended between the two.
+		if err != nil || l.SilentFor() > silenceTimeout {
 			return
 		}
 		l.lastHeard.Store(int64(l.clock()))
