Soak: late orders end with the generation of the worker that received them

What failed: TestSoakRed and TestSoakReplacementsRed, at times: "task ... started again on i-2 after its end was acknowledged". A start got no answer, was sent again and was done; the worker crashed, and its next generation carried out the first start before it had announced itself.

Cause: the stand-in. An order that it was to carry out late outlived the crash of the process that had received it.

Ruled out as a way to avoid the start in the product: an order can't name more than the id, the leader can't know of a generation before it hears from it, and holding acknowledgements back for as long as a start may come late would miss the time for them.

Change: the stand-in drops late orders at a crash. New check: an order without the worker's id in Goldcreststack-Expected-Instance is a violation and is answered 421.

--- a/soaker/worker.go
+++ b/soaker/worker.go
@@ -62,6 +62,13 @@
 	lateShare float64
 }
 
+// order is an order that has arrived at a worker.
+type order struct {
+	imitator.Order
+	// crashes counts the worker's crashes before the order arrived.
+	crashes int
+}
+
 type task struct {
 	attempt  int
 	endsAt   time.Time
@@ -134,16 +141,23 @@
 }
 
 // handleOrder returns a handler that decodes an order and carries it out. A share of
-// the orders, except lease renewals, is carried out late and gets no answer.
-func (s *worker) handleOrder(do func(*imitator.Order) (int, *imitator.Answer)) http.HandlerFunc {
+// the orders, except lease renewals, is carried out late and gets no answer. These
+// orders are lost if the worker crashes before.
+func (s *worker) handleOrder(do func(*order) (int, *imitator.Answer)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		var body imitator.Order
-		if json.NewDecoder(r.Body).Decode(&body) != nil {
+		if instance := r.Header.Get(imitator.InstanceHeader); instance != s.id {
+			s.world.check.recordViolation("worker %s got an order for %q", s.id, instance)
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		var body order
+		if json.NewDecoder(r.Body).Decode(&body.Order) != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
 		s.mu.Lock()
 		isDown, late := s.isDown, rand.Float64() < s.lateShare
+		body.crashes = s.crashes
 		s.mu.Unlock()
 		if isDown {
 			panic(http.ErrAbortHandler)
@@ -166,10 +180,14 @@
 	}
 }
 
-// checkFence reports whether the order's term is not older than the fence. If so, it
-// raises the fence and extends the lease; the caller holds the lock.
-func (s *worker) checkFence(b *imitator.Order) (*imitator.Answer, bool) {
+// checkFence reports whether the order arrived at this generation and its term is not
+// older than the fence. If so, it raises the fence and extends the lease; the caller
+// holds the lock.
+func (s *worker) checkFence(b *order) (*imitator.Answer, bool) {
 	answer := &imitator.Answer{Clock: s.clock(), Born: s.startedAt.UnixMilli()}
+	if b.crashes != s.crashes {
+		return answer, false
+	}
 	if b.Term < s.fence {
 		answer.Reason = "fence"
 		return answer, false
@@ -179,7 +197,7 @@
 	return answer, true
 }
 
-func (s *worker) startTask(b *imitator.Order) (int, *imitator.Answer) {
+func (s *worker) startTask(b *order) (int, *imitator.Answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	answer, ok := s.checkFence(b)
@@ -198,7 +216,7 @@
 		return http.StatusConflict, answer
 	}
 	s.highestAttempt[b.Task] = b.Attempt
-	length := s.world.check.checkStart(s, b)
+	length := s.world.check.checkStart(s, &b.Order)
 	s.running[b.Task] = &task{attempt: b.Attempt, endsAt: time.Now().Add(length), duration: length, late: b.Wait < 0}
 	if n := len(s.running); n*taskCores > workerCPU {
 		s.world.check.recordViolation("worker %s runs %d tasks of %d millicores", s.id, n, taskCores)
@@ -206,7 +224,7 @@
 	return http.StatusOK, answer
 }
 
-func (s *worker) stopTask(b *imitator.Order) (int, *imitator.Answer) {
+func (s *worker) stopTask(b *order) (int, *imitator.Answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	answer, ok := s.checkFence(b)
@@ -227,7 +245,7 @@
 	return http.StatusOK, answer
 }
 
-func (s *worker) renewLease(b *imitator.Order) (int, *imitator.Answer) {
+func (s *worker) renewLease(b *order) (int, *imitator.Answer) {
 	s.mu.Lock()
 	answer, ok := s.checkFence(b)
 	if !ok {
