Soak: a crash of a worker ends the renewals that it holds open

Cause: the stand-in. A renewal that waited for an end outlived the crash, and was answered with the tasks of the next generation under the birth time of the former one. The leader, which had sent starts to i-5 meanwhile, took them for seen running by the former generation, and for lost with it once the next one had announced itself. A process that crashes ends its connections, so no worker gives this answer.

Change: the stand-in breaks off such a renewal.

--- a/soaker/worker.go
+++ b/soaker/worker.go
@@ -268,6 +268,10 @@
 		s.mu.Lock()
 	}
 	defer s.mu.Unlock()
+	if b.crashes != s.crashes {
+		// The connection has ended with the generation that received the renewal.
+		panic(http.ErrAbortHandler)
+	}
 	running, ended := [][]any{}, [][]any{}
 	for name, t := range s.running {
 		rest := time.Until(t.endsAt)
