Repeat requests that an entry host has sent late beyond the retry budget

Cause: two things together. An entry process that isn't run for a while between its check of an idle connection and the sending (a quarter of the worker's idle timeout is enough, or all of it on a new connection) sends on a connection that the worker has closed for its idleness. Such a request is repeated at another worker, but only within the retry budget of a tenth of the first attempts of the last 10 s, and a host that has just started, or gets little traffic, has none. The caller then gets 502 for a delay of the entry host alone.

That no other way leads to the message is by reading: a request that may be repeated gets 502 after a lost answer only without budget or after three of them.

Change: the dialer marks the error if the first bytes were sent when the connection had been unused for longer than it may be reused. The forwarder repeats such a request once without asking the budget, if it may be repeated at all. The budget's purpose, fewer requests for workers that fail, isn't touched: a failure on a connection that was used in time counts as before (TestRetryBudget). Requests that must not be repeated are not.

--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -30,6 +31,9 @@
 	// writeErr is the error of sending them.
 	hasWritten bool
 	writeErr   error
+	// sentAt is when the first bytes of the current request were sent, as the
+	// time since openedAt; 0 before.
+	sentAt atomic.Int64
 	// hasStrayAnswer says that the worker has sent an answer to another
 	// request.
 	hasStrayAnswer bool
@@ -60,6 +64,7 @@
 	if err == nil {
 		n, err = s.c.raw.Write(p)
 	}
+	s.c.sentAt.CompareAndSwap(0, int64(time.Since(s.c.openedAt)))
 	if err != nil {
 		s.c.writeErr = err
 	}
--- a/dialer/exchange.go
+++ b/dialer/exchange.go
@@ -113,6 +113,7 @@
 	c.isReadingBody = false
 	c.headerBudget = headerLimit
 	c.hasWritten = false
+	c.sentAt.Store(0)
 	deadline := time.Time{}
 	if x.attempt.Timeout > 0 {
 		deadline = time.Now().Add(x.attempt.Timeout)
@@ -177,7 +178,7 @@
 	case x.ctx.Err() != nil:
 		return x.contextError(err)
 	case x.conn.writeErr != nil:
-		return classifier.Wrap(classifier.SendFailed, err, "request to "+x.attempt.Address)
+		return classifier.Wrap(classifier.SendFailed, x.markSentLate(err), "request to "+x.attempt.Address)
 	case !x.conn.hasWritten && (x.callerBody == nil || x.callerBody.err == nil):
 		return classifier.Wrap(classifier.Malformed, err, "request can't be sent")
 	default:
@@ -255,7 +256,7 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return classifier.Wrap(classifier.AnswerTimeout, err, "no answer from "+x.attempt.Address)
 	}
-	return classifier.Wrap(classifier.AnswerLost, err, fmt.Sprintf("answer from %s on a connection %s, %s after the start of the request",
+	return classifier.Wrap(classifier.AnswerLost, x.markSentLate(err), fmt.Sprintf("answer from %s on a connection %s, %s after the start of the request",
 		x.attempt.Address, x.connAge(), time.Since(x.startedAt).Round(time.Millisecond)))
 }
 
@@ -268,6 +269,38 @@
 	return fmt.Sprintf("opened %s before", x.startedAt.Sub(x.conn.openedAt).Round(time.Millisecond))
 }
 
+// sentLateError is the cause of an error for which SentLate returns true.
+type sentLateError struct{ cause error }
+
+func (e *sentLateError) Error() string { return "sent late: " + e.cause.Error() }
+
+func (e *sentLateError) Unwrap() error { return e.cause }
+
+// SentLate reports whether a request failed on a connection that had not been used
+// for longer than usable when the request was sent. The worker may have closed it
+// for that reason: this process was delayed after it had chosen the connection.
+func SentLate(err error) bool {
+	var late *sentLateError
+	return errors.As(err, &late)
+}
+
+// markSentLate wraps the error if the request was sent late.
+func (x *exchange) markSentLate(err error) error {
+	c := x.conn
+	unusedSince := c.openedAt
+	if !c.idleSince.IsZero() {
+		unusedSince = c.idleSince
+	}
+	sentAt := time.Now()
+	if afterOpening := time.Duration(c.sentAt.Load()); afterOpening > 0 {
+		sentAt = c.openedAt.Add(afterOpening)
+	}
+	if sentAt.Sub(unusedSince) < usableIdleTime(x.attempt) {
+		return err
+	}
+	return &sentLateError{err}
+}
+
 // abandonConn closes the connection of a request that failed or whose answer
 // was not read to its end.
 func (x *exchange) abandonConn() {
--- a/dialer/fault_test.go
+++ b/dialer/fault_test.go
@@ -125,6 +125,35 @@
 	assert.ErrorContains(t, err, "on a connection reused after ")
 }
 
+// Guards against a failure that is taken for the worker's although this process was
+// delayed until the worker had closed the connection, and against the opposite.
+func TestSentLate(t *testing.T) {
+	for name, body := range map[string]string{"empty": "", "small": "die", "large": strings.Repeat("k", 1<<20)} {
+		t.Run(name, func(t *testing.T) {
+			u := start(t, worker.Settings{IdleTimeout: 100 * time.Millisecond})
+			for _, reused := range []bool{false, true} {
+				if reused {
+					_, _, err := u.fetch(t.Context(), u.attempt(worker.FaultNone))
+					assert.NilError(t, err)
+				}
+				a := u.attempt(worker.FaultNone)
+				a.IdleTimeout = 100 * time.Millisecond
+				a.Method, a.Body, a.Length = http.MethodPost, bytes.NewReader([]byte(body)), int64(len(body))
+				a.Permit = func() error { time.Sleep(300 * time.Millisecond); return nil }
+				_, _, err := u.fetch(t.Context(), a)
+				kind := classifier.KindOf(err)
+				assert.Assert(t, kind == classifier.AnswerLost || kind == classifier.SendFailed, "%v", err)
+				assert.Assert(t, dialer.SentLate(err), "%v", err)
+			}
+			a := u.attempt(worker.FaultClose)
+			a.Method, a.Body, a.Length = http.MethodPost, bytes.NewReader([]byte(body)), int64(len(body))
+			_, _, err := u.fetch(t.Context(), a)
+			assert.Equal(t, classifier.KindOf(err), classifier.AnswerLost, "%v", err)
+			assert.Assert(t, !dialer.SentLate(err), "%v", err)
+		})
+	}
+}
+
 func waitCount(t *testing.T, u *upstream, idle bool) {
 	t.Helper()
 	want := dialer.Count{}
--- a/forwarder/cell_test.go
+++ b/forwarder/cell_test.go
@@ -55,9 +55,18 @@
 	return reporter.New(reporter.Options{Role: role, Name: role, Out: io.Discard})
 }
 
+type dialFunc func(ctx context.Context, address string) (net.Conn, error)
+
 // newCell starts the processes, applies the services, and waits until all
 // workers are known and the entry host is ready.
 func newCell(t testing.TB, workers int, configure func(*worker.Settings), services ...modeler.Service) *cell {
+	t.Helper()
+	return newCellWithDial(t, nil, workers, configure, services...)
+}
+
+// newCellWithDial is newCell with a function that opens the connections to workers;
+// nil means TCP.
+func newCellWithDial(t testing.TB, dial dialFunc, workers int, configure func(*worker.Settings), services ...modeler.Service) *cell {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &cell{t: t, client: &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
@@ -68,7 +77,7 @@
 	c.stopControl = c.startControl(links)
 	c.entry = forwarder.New(forwarder.Settings{
 		Entry: "entry-1", Controls: []string{c.path.address()}, MaxBody: 8 << 20, MaxBuffered: 64 << 20, DrainDelay: time.Millisecond,
-		DrainGrace: 200 * time.Millisecond, Report: quietReport("entry"), Listener: front,
+		DrainGrace: 200 * time.Millisecond, Report: quietReport("entry"), Listener: front, Dial: dial,
 	})
 	ended := make(chan struct{})
 	go func() {
--- a/forwarder/fault_test.go
+++ b/forwarder/fault_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -314,3 +316,38 @@
 	t.Logf("%d requests, %d retries", requests, retries)
 	assert.Assert(t, retries > 0 && retries <= requests/10)
 }
+
+// delayedConn is a connection to a worker whose first bytes are sent only when the
+// worker has closed it.
+type delayedConn struct {
+	net.Conn
+	sent bool
+}
+
+func (c *delayedConn) Write(p []byte) (int, error) {
+	if !c.sent {
+		c.sent = true
+		if _, err := c.Conn.Read(make([]byte, 1)); err != io.EOF {
+			return 0, fmt.Errorf("the worker has not closed the connection: %v", err)
+		}
+	}
+	return c.Conn.Write(p)
+}
+
+// Guards against an entry host that is delayed after it has chosen a connection and,
+// without a retry left in its budget, answers 502 since the worker has closed it.
+func TestRequestSentLateIsRepeatedWithoutBudget(t *testing.T) {
+	var dialed atomic.Int64
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+		if err != nil || dialed.Add(1) > 1 {
+			return conn, err
+		}
+		return &delayedConn{Conn: conn}, nil
+	}
+	c := newCellWithDial(t, dial, 2, func(s *worker.Settings) { s.IdleTimeout = 200 * time.Millisecond })
+	r := c.call(call{service: proof, path: "late"})
+	assert.NilError(t, r.err)
+	assert.Equal(t, r.status, http.StatusOK, r.text)
+	assert.Equal(t, c.runs("late"), 1)
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -49,6 +49,8 @@
 	Report     *reporter.Reporter
 	// Listener replaces Listen when it is set.
 	Listener net.Listener
+	// Dial opens a connection to a worker; the default is TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Forwarder is a running entry process.
@@ -96,7 +98,7 @@
 		Entry:       settings.Entry,
 		Incarnation: modeler.Incarnation(f.startedAt.UnixNano()),
 	}
-	f.dialer = dialer.New(dialer.Settings{Session: f.session.String()})
+	f.dialer = dialer.New(dialer.Settings{Session: f.session.String(), Dial: settings.Dial})
 	f.leader = follower.New(modeler.Hello{Entry: f.session.Entry, Incarnation: f.session.Incarnation}, f.linkHandlers())
 	f.core = &core{
 		forwarder: f,
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -39,6 +39,9 @@
 	// mayHaveRun says that a worker may have run the request in an attempt that
 	// got no answer.
 	mayHaveRun bool
+	// isLateRepeated says that an attempt was repeated without regard to the retry
+	// budget because it was sent late.
+	isLateRepeated bool
 	// endKind is the kind that the request ended with, for the metrics.
 	endKind classifier.Kind
 	// holdsSlot says that the current attempt holds the slot in assignment,
@@ -197,17 +200,17 @@
 		if kind.Answer().Outcome != classifier.OutcomeNotRun {
 			x.mayHaveRun = true
 		}
-		if !x.mayRetry(ctx, kind) {
+		if !x.mayRetry(ctx, err) {
 			return nil, err
 		}
 		x.failedWorkers = append(x.failedWorkers, a.Worker)
 	}
 }
 
-// mayRetry decides whether to try another worker; if so, it waits for the
-// backoff delay first.
-func (x *exchange) mayRetry(ctx context.Context, kind classifier.Kind) bool {
-	row := kind.Answer()
+// mayRetry decides whether to try another worker after the error; if so, it waits
+// for the backoff delay first.
+func (x *exchange) mayRetry(ctx context.Context, err error) bool {
+	row := classifier.KindOf(err).Answer()
 	switch {
 	case !row.TryAnotherWorker, x.attemptCount >= maxAttempts:
 		return false
@@ -215,6 +218,9 @@
 		return false
 	case !x.body.isBuffered() && row.Outcome != classifier.OutcomeNotRun:
 		return false
+	case dialer.SentLate(err) && !x.isLateRepeated:
+		// The budget protects workers that fail; this entry host was late itself.
+		x.isLateRepeated = true
 	case !x.forwarder.allowRetry(x):
 		return false
 	}
