reconfigurer: a moved member isn't taken for a departed one

When a member comes back at the address of a departed voter, the membership holds two members with that address. supersededVoter takes the last in the list for the one that runs there, but Admit left the moved member at its old position: if it stood before the departed one, the live member lost its vote and the departed one kept it.

Admit puts the moved member at the end. TestMovedMemberIsNotTakenForDeparted failed before: "the member that has moved is removed", with 4 still a voter.

--- a/reconfigurer/reconfigurer.go
+++ b/reconfigurer/reconfigurer.go
@@ -93,8 +93,10 @@
 		if members.Members[at].Address == m.Address {
 			return Change{}, false
 		}
-		moved := slices.Clone(members.Members)
-		moved[at].Address = m.Address
+		held := members.Members[at]
+		held.Address = m.Address
+		// The last of several members at an address is the one that runs there.
+		moved := append(slices.Delete(slices.Clone(members.Members), at, at+1), held)
 		return Change{Kind: Move, Member: m.ID, Reason: "its address has changed", Members: modeler.Membership{Members: moved}}, true
 	}
 	for _, held := range members.Members {
--- a/reconfigurer/reconfigurer_test.go
+++ b/reconfigurer/reconfigurer_test.go
@@ -271,3 +271,16 @@
 		}
 	})
 }
+
+// Guards against a live member that loses its vote after it has moved to the address of a departed one.
+func TestMovedMemberIsNotTakenForDeparted(t *testing.T) {
+	g := newGroup(1, 5, 0, 0, 0)
+	change, needed := g.policy.Admit(g.status.Members, modeler.Member{ID: 2, Address: "host-4"})
+	assert.Assert(t, needed && change.Kind == reconfigurer.Move)
+	g.status.Members = change.Members
+	g.settle(t)
+	_, found := g.find(2)
+	assert.Assert(t, found, "the member that has moved is removed: %v", g.status.Members)
+	_, found = g.find(4)
+	assert.Assert(t, !found, "the departed member stays: %v", g.status.Members)
+}
