All members vote where a whole failure domain may be lost

Found by review. Since at most 4f+1 members vote, f being fault_tolerance.machines (1 if that is 0). fault_tolerance in zones or regions was not read. On all members voted, so nine hosts in three domains bore the loss of a domain; since then five of them voted, and the domain could hold three of the five. None of the deployments that we have asks for it (zones and regions are 0 in all of them).

With zones or regions above 0 the number of voters has no upper bound, which is as before the change. Voters are still not chosen by their domains.

TestLossOfDomainLeavesQuorum failed before: "5 of 9 members vote, 3 may be lost with a domain".

--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -277,7 +277,7 @@
 	}
 	settings.Join = !settings.Bootstrap
 	// The other half of the time is left for an election and for the learner.
-	settings.Voters = reconfigurer.Policy{Tolerance: node.Tolerance, ReplaceAfter: node.CatchUp / 2}
+	settings.Voters = reconfigurer.Policy{Tolerance: node.Tolerance, AllVote: node.ToleratesDomains, ReplaceAfter: node.CatchUp / 2}
 	return settings, nil
 }
 
--- a/reconfigurer/reconfigurer.go
+++ b/reconfigurer/reconfigurer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -51,6 +52,10 @@
 	// Tolerance is the number of members that may be lost at the same time, 1 by
 	// default.
 	Tolerance int
+	// AllVote lets any number of members vote. It is for a group that tolerates the
+	// loss of a whole failure domain: the members that don't vote say nothing about
+	// the domains of those that do.
+	AllVote bool
 	// ReplaceAfter is how long a voter may be silent before it loses its vote, 2 s
 	// by default. It gets the vote back when it returns and asks to be admitted.
 	ReplaceAfter time.Duration
@@ -72,7 +77,12 @@
 func (p Policy) fewestVoters() int { return 2*p.Tolerance + 1 }
 
 // mostVoters returns the number of voters up to which learners are promoted.
-func (p Policy) mostVoters() int { return 4*p.Tolerance + 1 }
+func (p Policy) mostVoters() int {
+	if p.AllVote {
+		return math.MaxInt
+	}
+	return 4*p.Tolerance + 1
+}
 
 // Quorum returns the number of votes that decide among so many voters.
 func Quorum(voters int) int { return voters/2 + 1 }
--- a/reconfigurer/reconfigurer_test.go
+++ b/reconfigurer/reconfigurer_test.go
@@ -284,3 +284,14 @@
 	_, found = g.find(4)
 	assert.Assert(t, !found, "the departed member stays: %v", g.status.Members)
 }
+
+// Guards against a failure domain whose loss takes most voters, since members elsewhere don't vote.
+func TestLossOfDomainLeavesQuorum(t *testing.T) {
+	for members, inDomain := range map[int]int{5: 2, 9: 3, 15: 5} {
+		g := newGroup(0, 3, 0, members-3, 0)
+		g.policy.Tolerance, g.policy.AllVote = 1, true
+		g.settle(t)
+		voters, _, _ := g.count()
+		assert.Assert(t, voters-inDomain >= reconfigurer.Quorum(voters), "%d of %d members vote, %d may be lost with a domain", voters, members, inDomain)
+	}
+}
