Histories with restarts in order, splits, hanging disks and late successors

TestReplacedHostsKeepQuorum has no split of the hosts into two halves, no host that is stopped in order and starts again with its disk, no disk that hangs, no loss of power for longer than a second or while a host is being replaced, and no successor that comes later than 1 s or at the address of its predecessor. It also lets all leaders know for good who has announced its stop, and a host that stops waits for its successor even if nobody can take its place.

At the end the group must bear the tolerated losses and the final fault.

Allowance: a host that is lost when a split or a loss of power begins counts as lost until it has had catchUp after it. The users' bench waits in the same way: the next loss comes once the group has been stable for 3 s, and 4 s later.

--- a/replicator/cluster_test.go
+++ b/replicator/cluster_test.go
@@ -38,13 +38,15 @@
 	disk       replicator.Saved
 	membership modeler.Membership
 
-	operations  []operation
-	diskLost    bool
-	removed     bool
-	pausedUntil time.Duration
-	startedAt   time.Duration
-	clockOffset modeler.ClockReading
-	clockRate   float64
+	operations []operation
+	diskLost   bool
+	// diskHangsUntil is when the disk carries out operations again.
+	diskHangsUntil time.Duration
+	removed        bool
+	pausedUntil    time.Duration
+	startedAt      time.Duration
+	clockOffset    modeler.ClockReading
+	clockRate      float64
 
 	applied     modeler.Index
 	appliedTerm modeler.Term
@@ -308,7 +310,7 @@
 // Output allows.
 func (c *cluster) runOperations(h *host) {
 	for n := 0; n < len(h.operations); {
-		if !h.canRun(n) || c.slowSync && h.operations[n].messages == nil && c.rng.Float64() < 0.5 {
+		if !h.canRun(n) || h.operations[n].messages == nil && (c.now < h.diskHangsUntil || c.slowSync && c.rng.Float64() < 0.5) {
 			n++
 			continue
 		}
@@ -370,7 +372,7 @@
 		}
 		h.persist(op, len(op.entries))
 	}
-	h.r, h.operations = nil, nil
+	h.r, h.operations, h.diskHangsUntil = nil, nil, 0
 }
 
 // sendMessage puts a message on the network, which may lose, repeat or delay it.
--- a/replicator/replacement_test.go
+++ b/replicator/replacement_test.go
@@ -57,16 +57,22 @@
 	// within it all the same.
 	overlapping bool
 	places      []*place
-	schedule    []scheduled
-	addresses   int
+	// size is the number of places while no host is being replaced in order.
+	size      int
+	schedule  []scheduled
+	addresses int
 	// calmSince is when the last fault began or ended. exceeded says that more
 	// places than tolerated were lost, and not all are back yet.
 	calmSince time.Duration
 	exceeded  bool
+	// splitUntil is when the two halves of the hosts reach each other again.
+	splitUntil time.Duration
 	// leaving are the hosts that have told the leader that they stop.
-	leaving  []modeler.MemberID
-	nextTick time.Duration
-	nextJoin time.Duration
+	leaving []modeler.MemberID
+	// announced are the hosts that have told the leader of a term that they stop.
+	announced map[announcement]time.Duration
+	nextTick  time.Duration
+	nextJoin  time.Duration
 }
 
 func newSite(t *testing.T, seed uint64, size, tolerance int) *site {
@@ -126,7 +132,7 @@
 	if s.now >= s.nextTick {
 		s.nextTick = s.now + tickInterval
 		if leader := s.leaseHolder(); leader != nil && s.isRunning(leader) {
-			if change, due := s.policy.Next(s.reading(leader), leader.r.Status(), s.leaving); due {
+			if change, due := s.policy.Next(s.reading(leader), leader.r.Status(), s.leavingTo(leader)); due {
 				s.propose(leader, change)
 			}
 		}
@@ -204,8 +210,8 @@
 // lost. After more have been lost, the group may wait until all are back.
 func (s *site) checkLeader() {
 	lost := s.lost(lostUntil)
-	s.exceeded = lost > s.tolerance || s.exceeded && lost > 0
-	if s.exceeded {
+	s.exceeded = lost > s.tolerance || lost > 0 && (s.exceeded || s.now < s.splitUntil)
+	if s.exceeded || s.now < s.splitUntil {
 		s.calmSince = s.now
 	}
 	if s.now-s.calmSince > contact && s.leaseHolder() == nil {
