A learner that answers and never catches up is reported

Found by review. A learner whose disk refuses writes answers heartbeats, so it isn't silent; it isn't caught up, so no vote is proposed for it and no change is refused. It left no line at all, and docs/OPERATIONS.md led to "change of members refused", which can't come.

The leader logs "learner has not caught up" after 5 s, and every 5 s as long as it lasts.

--- a/controller/leadership.go
+++ b/controller/leadership.go
@@ -47,6 +47,8 @@
 	leaving map[modeler.MemberID]modeler.ClockReading
 	// silentMembers has the members whose silence is logged.
 	silentMembers map[modeler.MemberID]bool
+	// laggards has the learners that answer and have not caught up.
+	laggards map[modeler.MemberID]*laggard
 }
 
 // workerView is what the status reports about a worker.
@@ -72,6 +74,7 @@
 
 		leaving:       make(map[modeler.MemberID]modeler.ClockReading),
 		silentMembers: make(map[modeler.MemberID]bool),
+		laggards:      make(map[modeler.MemberID]*laggard),
 	}
 	for _, team := range c.state.Cell().Teams {
 		l.cell.SetTeam(now, team)
@@ -112,6 +115,7 @@
 		l.flows.cell.Tick(now, l.core.logTime())
 	}
 	l.watchMembers(now)
+	l.watchLearners(now)
 	l.core.updateVoters(now)
 	l.proposeReplacements(now)
 	l.needsPlacement = true
--- a/controller/quorum.go
+++ b/controller/quorum.go
@@ -101,6 +101,36 @@
 	}
 }
 
+// laggard is a learner that has not caught up.
+type laggard struct {
+	since modeler.ClockReading
+	limit repeatLimit
+}
+
+// watchLearners logs each learner that answers but has not caught up for
+// repeatInterval, such as one whose disk refuses writes: no change of members is
+// proposed for it, so none is refused.
+func (l *leadership) watchLearners(now modeler.ClockReading) {
+	status := l.core.log.Status()
+	lagging := make(map[modeler.MemberID]*laggard)
+	for i := range status.Progress {
+		p := &status.Progress[i]
+		if !p.Member.Learner || p.CaughtUp || silence(now, p) > 0 {
+			continue
+		}
+		found := l.laggards[p.Member.ID]
+		if found == nil {
+			found = &laggard{since: now, limit: repeatLimit{loggedAt: now}}
+		}
+		lagging[p.Member.ID] = found
+		if ok, _ := found.limit.allow(now, ""); ok {
+			l.core.controller.settings.Report.Info("learner has not caught up", "member", p.Member.ID, "address", p.Member.Address,
+				"match", p.Match, "last", status.Last, "since", now.Sub(found.since).String())
+		}
+	}
+	l.laggards = lagging
+}
+
 // quorumStatus returns how many losses the group bears, as this leader knows it.
 func (l *leadership) quorumStatus(now modeler.ClockReading, status *replicator.Status) modeler.QuorumStatus {
 	q := modeler.QuorumStatus{Refusal: l.core.lastRefusal}
--- a/controller/quorum_test.go
+++ b/controller/quorum_test.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"net"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -301,3 +303,35 @@
 	assert.Equal(t, lines[0].Kind, "append answer")
 	assert.Assert(t, only.hasMetric("member_messages_dropped_total", "20"))
 }
+
+// TestLaggingLearnerIsReported guards against a learner whose disk refuses writes,
+// which answers, never votes, and leaves no line.
+func TestLaggingLearnerIsReported(t *testing.T) {
+	members, r := startWatchedGroup(t, 3, nil)
+	var first []modeler.Member
+	for _, m := range members {
+		first = append(first, m.Member)
+	}
+	var full atomic.Bool
+	listener := listen(t, "127.0.0.1:0")
+	learner := modeler.Member{ID: 44, Address: listener.Addr().String()}
+	stop := startPeer(t, learner.ID, listener, first, true, fillableDisk(&full))
+	t.Cleanup(stop)
+	t.Cleanup(func() { full.Store(false) })
+	assert.Assert(t, admitted(t.Context(), r, learner, recovery))
+	hasEntries := func(m modeler.MemberStatus) bool { return m.Member.ID == learner.ID && m.Match > 0 }
+	for end := time.Now().Add(recovery); !slices.ContainsFunc(members[0].status(t).Members, hasEntries); time.Sleep(20 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "the learner does not receive the log")
+	}
+	full.Store(true)
+	for number := modeler.TicketNumber(1); number <= 300; {
+		layout := &modeler.Layout{Number: number, Document: []byte("{}")}
+		if _, err := r.Call(t.Context(), &modeler.Call{Kind: modeler.SetLayoutCall, Layout: layout}); err == nil {
+			number++
+		}
+	}
+	lines := members[0].log.await(t, "learner has not caught up", 10*time.Second)
+	assert.Equal(t, lines[0].Member, learner.ID)
+	assert.Equal(t, lines[0].Address, learner.Address)
+	assert.Equal(t, len(members[0].log.find(t, "change of members refused")), 0)
+}
