--- a/cmd/goldcreststack/hosted.go
+++ b/cmd/goldcreststack/hosted.go
@@ -50,10 +50,11 @@
 		return role
 	}
 	add(loader.EntryRole, "Serve callers", hoster.RunEntry)
-	bind := ""
+	var options hoster.ControlOptions
 	control := add(loader.ControlRole, "Run a member of the replicated group", func(ctx context.Context, node *platform.Node, report *reporter.Reporter) error {
-		return hoster.RunControl(ctx, node, report, bind)
+		return hoster.RunControl(ctx, node, report, options)
 	})
-	control.Flags().StringVar(&bind, "bind", "", "IP address to accept links at, if it is not the advertised one")
+	control.Flags().StringVar(&options.Bind, "bind", "", "IP address to accept links at, if it is not the advertised one")
+	control.Flags().Uint64Var((*uint64)(&options.Restore), "restore", 0, "the id of this member: start a new group of it alone from its data folder, after the quorum was lost for good")
 	return cmd
 }
--- a/cmd/goldcreststack/returning_test.go
+++ b/cmd/goldcreststack/returning_test.go
@@ -13,10 +13,11 @@
 	"gotest.tools/v3/assert"
 
 	"goldcreststack.example/goldcreststack/modeler"
+	"goldcreststack.example/goldcreststack/platform/imitator"
 )
 
-// voters returns the IP addresses of the voters by the view of the leader.
-func (f *fleet) voters() map[string]bool {
+// members returns the members by the view of the leader.
+func (f *fleet) members() []modeler.Member {
 	_, body := call(f.client, http.MethodGet, net.JoinHostPort(f.leader().node.IP, "9464"), "/debug/state", "")
 	var dump struct {
 		Sections []struct {
@@ -27,12 +28,19 @@
 	if err := json.Unmarshal([]byte(body), &dump); err != nil {
 		f.t.Log(err)
 	}
-	voters := make(map[string]bool)
+	var members []modeler.Member
 	for _, s := range dump.Sections {
-		for _, m := range s.Body.Members {
-			if ip, _, err := net.SplitHostPort(m.Address); err == nil && !m.Learner {
-				voters[ip] = true
-			}
+		members = append(members, s.Body.Members...)
+	}
+	return members
+}
+
+// voters returns the IP addresses of the voters by the view of the leader.
+func (f *fleet) voters() map[string]bool {
+	voters := make(map[string]bool)
+	for _, m := range f.members() {
+		if ip, _, err := net.SplitHostPort(m.Address); err == nil && !m.Learner {
+			voters[ip] = true
 		}
 	}
 	return voters
@@ -194,3 +202,33 @@
 	f.stopInOrder(others[0])
 	f.replaceLost(others[1:], leader)
 }
+
+// Guards against a platform on which a group that has lost its quorum for good has no way back.
+func TestLostQuorumIsRestored(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	f.awaitVoters(recovery, f.controls...)
+	survivor := f.leader()
+	members := f.members()
+	at := slices.IndexFunc(members, func(m modeler.Member) bool {
+		ip, _, err := net.SplitHostPort(m.Address)
+		return err == nil && ip == survivor.node.IP
+	})
+	assert.Assert(t, at >= 0, "%v", members)
+	for _, h := range f.oldest(2, survivor) {
+		h.kill()
+		f.remove(h)
+	}
+	time.Sleep(catchUp)
+	assert.Assert(t, f.expect(survivor, http.MethodGet, imitator.LayoutPath, "", "") != nil, "a configuration is answered without a quorum")
+	survivor.kill()
+	started := slices.Clone(survivor.args)
+	survivor.args = append(survivor.args, "--restore", fmt.Sprint(members[at].ID))
+	f.start(survivor, f.controls)
+	f.checkAcknowledged()
+	survivor.kill()
+	survivor.args = started
+	f.start(survivor, f.controls)
+	f.add(2, survivor)
+	f.awaitVoters(recovery, f.controls...)
+	f.checkAcknowledged()
+}
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -200,22 +200,32 @@
 	})
 }
 
-// RunControl runs a member of the replicated group until ctx ends. If bind is not
-// empty, links are accepted at that IP address instead of the advertised one, for
-// a host behind network address translation. It returns an error if the member
-// can't be created, an address can't be opened or a server fails.
-func RunControl(ctx context.Context, node *platform.Node, report *reporter.Reporter, bind string) error {
+// ControlOptions are the options of a control process that its settings don't hold.
+type ControlOptions struct {
+	// Bind, if set, is the IP address at which links are accepted instead of the
+	// advertised one, for a host behind network address translation.
+	Bind string
+	// Restore, if set, is the id of this member: it starts a new group alone from its
+	// data folder, after the quorum was lost for good.
+	Restore modeler.MemberID
+}
+
+// RunControl runs a member of the replicated group until ctx ends. It returns an
+// error if the member can't be created or restored, an address can't be opened or
+// a server fails.
+func RunControl(ctx context.Context, node *platform.Node, report *reporter.Reporter, options ControlOptions) error {
 	p := newProcess(node, report)
 	settings, err := p.controllerSettings()
 	if err != nil {
 		return err
 	}
-	if bind != "" {
+	settings.Restore = options.Restore
+	if options.Bind != "" {
 		_, port, err := net.SplitHostPort(node.LinkAddress)
 		if err != nil {
 			return classifier.Wrap(classifier.Malformed, err, node.LinkAddress)
 		}
-		settings.Listen = net.JoinHostPort(bind, port)
+		settings.Listen = net.JoinHostPort(options.Bind, port)
 	}
 	c, err := controller.New(settings)
 	if err != nil {
--- a/hoster/hoster_test.go
+++ b/hoster/hoster_test.go
@@ -116,7 +116,7 @@
 			ended <- hoster.RunEntry(ctx, node, report)
 			return
 		}
-		ended <- hoster.RunControl(ctx, node, report, "")
+		ended <- hoster.RunControl(ctx, node, report, hoster.ControlOptions{})
 	}()
 	stop := sync.OnceFunc(func() {
 		cancel()
@@ -325,7 +325,7 @@
 	defer cancel()
 	ended := make(chan error, 1)
 	go func() {
-		ended <- hoster.RunControl(ctx, node, reporter.New(reporter.Options{Role: "control", Name: "c1", Out: io.Discard}), "")
+		ended <- hoster.RunControl(ctx, node, reporter.New(reporter.Options{Role: "control", Name: "c1", Out: io.Discard}), hoster.ControlOptions{})
 	}()
 	select {
 	case err := <-ended:
