linker: notice a suspension between two readings of the clock

A message that had waited in the connection during a suspension of the host was still taken if the host was suspended between the check of the silence and the next reading of the clock, which was stored as the time of the last message, or between the exchange of the first messages and the first reading.

Change: the reading that is checked is the one that is stored, so any suspension lies between two readings that are compared. The opening of a link is measured by the same clock, and fails if it took longer than dialTimeout.

TestSuspensionBetweenReadsIsNoticed now suspends the host after each of the first five readings, one at a time; the former case is the first of them. It runs on connections within the process and the time of synctest, since the former form needed the machine to be in time.

--- a/linker/keeper_test.go
+++ b/linker/keeper_test.go
@@ -168,36 +168,47 @@
 // Guards against messages that are taken after a suspension which began while the
 // link wasn't waiting for one.
 func TestSuspensionBetweenReadsIsNoticed(t *testing.T) {
-	accepting := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		l, err := linker.Accept(w, r, modeler.Hello{Member: 2})
-		if err != nil {
-			return
-		}
-		l.Send(&modeler.Message{Kind: modeler.QueryMessage})
-		<-l.Done()
-	}))
-	defer accepting.Close()
-	var readings atomic.Int64
-	up := make(chan *linker.Link, 1)
-	keeper := linker.Keeper{
-		Address: strings.TrimPrefix(accepting.URL, "http://"),
-		Hello:   func() modeler.Hello { return modeler.Hello{Member: 1} },
-		OnLink: func(ctx context.Context, l *linker.Link) {
-			up <- l
-			<-ctx.Done()
-		},
-		// The host is suspended right after the link has opened.
-		Clock: func() modeler.ClockReading {
-			if readings.Add(1) == 1 {
-				return 0
+	const sent = 5
+	// The host is suspended right after one of the first readings of its clock.
+	for before := range int64(sent) {
+		synctest.Test(t, func(t *testing.T) {
+			var links, readings, taken atomic.Int64
+			other := servePipes(t, func(w http.ResponseWriter, r *http.Request) {
+				if links.Add(1) > 1 {
+					return
+				}
+				l, err := linker.Accept(w, r, modeler.Hello{Member: 2})
+				if err != nil {
+					return
+				}
+				for range sent {
+					l.Send(&modeler.Message{Kind: modeler.QueryMessage})
+				}
+				<-l.Done()
+			})
+			keeper := linker.Keeper{
+				Address: "other",
+				Hello:   func() modeler.Hello { return modeler.Hello{Member: 1} },
+				OnLink: func(ctx context.Context, l *linker.Link) {
+					defer context.AfterFunc(ctx, l.Close)()
+					for range l.Receive() {
+						taken.Add(1)
+					}
+				},
+				Connect: other.dial,
+				Clock: func() modeler.ClockReading {
+					if readings.Add(1) <= before+1 {
+						return 0
+					}
+					return modeler.ClockReading(3 * time.Second)
+				},
 			}
-			return modeler.ClockReading(3 * time.Second)
-		},
+			go keeper.Run(t.Context())
+			time.Sleep(500 * time.Millisecond)
+			assert.Assert(t, readings.Load() > before+1)
+			// Each message taken must have been followed by a reading of its own that
+			// shows no suspension, beside the one at the opening of the link.
+			assert.Assert(t, taken.Load() <= before, "%d messages were taken after a suspension of three seconds", taken.Load()-before)
+		})
 	}
-	ctx, stop := context.WithCancel(t.Context())
-	defer stop()
-	go keeper.Run(ctx)
-	l := <-up
-	_, open := <-l.Receive()
-	assert.Assert(t, !open, "a message was taken after a suspension of three seconds")
 }
--- a/linker/link.go
+++ b/linker/link.go
@@ -98,11 +98,17 @@
 
 		clock: clock,
 	}
+	begun := clock()
 	if err := l.exchangeHello(ctx, hello); err != nil {
 		l.Close()
 		return nil, err
 	}
-	l.lastHeard.Store(int64(clock()))
+	now := clock()
+	if took := now.Sub(begun); took > dialTimeout {
+		l.Close()
+		return nil, classifier.New(classifier.ConnectFailed, "the first messages took %s, with suspensions of the host", took)
+	}
+	l.lastHeard.Store(int64(now))
 	go l.read()
 	go l.write()
 	return l, nil
@@ -178,12 +184,14 @@
 		watchdog.Reset(silenceTimeout)
 		m, err := l.readMessage(context.Background())
 		watchdog.Stop()
-		// The silence counts from the last message, not from the start of the read:
-		// the host may be suspended between the two.
-		if err != nil || l.SilentFor() > silenceTimeout {
+		// The silence counts from the last message, not from the start of the read,
+		// and up to the reading that is stored: the host may be suspended at any point
+		// between two messages.
+		now := l.clock()
+		if err != nil || now.Sub(modeler.ClockReading(l.lastHeard.Load())) > silenceTimeout {
 			return
 		}
-		l.lastHeard.Store(int64(l.clock()))
+		l.lastHeard.Store(int64(now))
 		if m.Kind == modeler.PingMessage {
 			continue
 		}
