linker: tests of times run in the time of synctest

Cause: the tests, not the product. They bound wall time, and take a link to be heard each second, in a process that gets no processor for seconds.

Change: the same tests with the same bounds run over connections within the process, in the time of synctest. Stricter: TestWake bounds each of the three dials rather than the middle one, and the hanging dial of TestWakeEndsHangingDial hangs even when its context ends.

--- a/linker/keeper_test.go
+++ b/linker/keeper_test.go
@@ -5,10 +5,8 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
-	"slices"
-	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,78 +24,68 @@
 	}
 }
 
-// serveLinks accepts links on the listener.
-func serveLinks(listener net.Listener) *http.Server {
-	server := &http.Server{Handler: http.HandlerFunc(acceptLink)}
-	go func() { _ = server.Serve(listener) }()
-	return server
-}
-
 // TestWake guards against a restarted process that gets no answers until
 // another process dials it again, which takes up to 1.5 s.
 func TestWake(t *testing.T) {
-	reserved, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	address := reserved.Addr().String()
-	assert.NilError(t, reserved.Close())
-	ctx, stop := context.WithCancel(t.Context())
-	defer stop()
-	wake, up := make(chan struct{}, 1), make(chan time.Time, 1)
-	keeper := linker.Keeper{
-		Address:   address,
-		Hello:     func() modeler.Hello { return modeler.Hello{Member: 1} },
-		RedialNow: wake,
-		OnLink:    func(context.Context, *linker.Link) { up <- time.Now() },
-	}
-	go keeper.Run(ctx)
-	var took []time.Duration
-	for range 3 {
-		// The pause between two dials grows to its maximum meanwhile.
-		time.Sleep(4 * time.Second)
-		listener, err := net.Listen("tcp", address)
-		assert.NilError(t, err)
-		server := serveLinks(listener)
-		begun := time.Now()
-		select {
-		case wake <- struct{}{}:
-		default:
+	synctest.Test(t, func(t *testing.T) {
+		other := servePipes(t, acceptLink)
+		var isUp atomic.Bool
+		wake, up := make(chan struct{}, 1), make(chan time.Time, 1)
+		keeper := linker.Keeper{
+			Address:   "other",
+			Hello:     func() modeler.Hello { return modeler.Hello{Member: 1} },
+			RedialNow: wake,
+			OnLink:    func(context.Context, *linker.Link) { up <- time.Now() },
+			Connect: func(ctx context.Context, network, address string) (net.Conn, error) {
+				if !isUp.Load() {
+					return nil, syscall.ECONNREFUSED
+				}
+				return other.dial(ctx, network, address)
+			},
 		}
-		took = append(took, (<-up).Sub(begun))
-		assert.NilError(t, server.Close())
-	}
-	slices.Sort(took)
-	assert.Assert(t, took[1] < 100*time.Millisecond, "dialled after %s", took)
+		go keeper.Run(t.Context())
+		for range 3 {
+			// The pause between two dials grows to its maximum meanwhile.
+			time.Sleep(4 * time.Second)
+			isUp.Store(true)
+			begun := time.Now()
+			wake <- struct{}{}
+			took := (<-up).Sub(begun)
+			isUp.Store(false)
+			assert.Assert(t, took < 100*time.Millisecond, "dialled after %s", took)
+		}
+	})
 }
 
 // Guards against a dial to a host without power that still hangs after the host
 // has come back.
 func TestWakeEndsHangingDial(t *testing.T) {
-	accepting := httptest.NewServer(http.HandlerFunc(acceptLink))
-	defer accepting.Close()
-	wake, up, hangs := make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
-	dials := 0
-	keeper := linker.Keeper{
-		Address:   strings.TrimPrefix(accepting.URL, "http://"),
-		Hello:     func() modeler.Hello { return modeler.Hello{Member: 1} },
-		RedialNow: wake,
-		OnLink:    func(context.Context, *linker.Link) { up <- struct{}{} },
-		Connect: func(ctx context.Context, network, address string) (net.Conn, error) {
-			if dials++; dials == 1 {
-				hangs <- struct{}{}
-				<-ctx.Done()
-				return nil, ctx.Err()
-			}
-			return (&net.Dialer{}).DialContext(ctx, network, address)
-		},
-	}
-	ctx, stop := context.WithCancel(t.Context())
-	defer stop()
-	go keeper.Run(ctx)
-	<-hangs
-	begun := time.Now()
-	wake <- struct{}{}
-	<-up
-	assert.Assert(t, time.Since(begun) < 100*time.Millisecond, "linked after %s", time.Since(begun))
+	synctest.Test(t, func(t *testing.T) {
+		other := servePipes(t, acceptLink)
+		wake, up, hangs, ended := make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{})
+		defer close(ended)
+		dials := 0
+		keeper := linker.Keeper{
+			Address:   "other",
+			Hello:     func() modeler.Hello { return modeler.Hello{Member: 1} },
+			RedialNow: wake,
+			OnLink:    func(context.Context, *linker.Link) { up <- struct{}{} },
+			Connect: func(ctx context.Context, network, address string) (net.Conn, error) {
+				if dials++; dials == 1 {
+					hangs <- struct{}{}
+					<-ended
+					return nil, syscall.ETIMEDOUT
+				}
+				return other.dial(ctx, network, address)
+			},
+		}
+		go keeper.Run(t.Context())
+		<-hangs
+		begun := time.Now()
+		wake <- struct{}{}
+		<-up
+		assert.Assert(t, time.Since(begun) < 100*time.Millisecond, "linked after %s", time.Since(begun))
+	})
 }
 
 // Guards against a restarted process that is dialled only a second later, which
@@ -125,44 +113,42 @@
 // before: the orders and permissions that waited in the connection may have
 // expired.
 func TestNothingIsTakenAfterSuspension(t *testing.T) {
-	send := make(chan struct{})
-	accepting := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		l, err := linker.Accept(w, r, modeler.Hello{Member: 2})
-		if err != nil {
-			return
-		}
-		for range send {
-			l.Send(&modeler.Message{Kind: modeler.QueryMessage})
+	synctest.Test(t, func(t *testing.T) {
+		send := make(chan struct{})
+		defer close(send)
+		other := servePipes(t, func(w http.ResponseWriter, r *http.Request) {
+			l, err := linker.Accept(w, r, modeler.Hello{Member: 2})
+			if err != nil {
+				return
+			}
+			for range send {
+				l.Send(&modeler.Message{Kind: modeler.QueryMessage})
+			}
+			<-l.Done()
+		})
+		var suspended atomic.Int64
+		clock := clockSince(time.Now())
+		up := make(chan *linker.Link, 1)
+		keeper := linker.Keeper{
+			Address: "other",
+			Hello:   func() modeler.Hello { return modeler.Hello{Member: 1} },
+			OnLink: func(ctx context.Context, l *linker.Link) {
+				up <- l
+				<-ctx.Done()
+			},
+			Connect: other.dial,
+			Clock:   func() modeler.ClockReading { return clock().Add(time.Duration(suspended.Load())) },
 		}
-		<-l.Done()
-	}))
-	defer accepting.Close()
-	var suspended atomic.Int64
-	began := time.Now()
-	up := make(chan *linker.Link, 1)
-	keeper := linker.Keeper{
-		Address: strings.TrimPrefix(accepting.URL, "http://"),
-		Hello:   func() modeler.Hello { return modeler.Hello{Member: 1} },
-		OnLink: func(ctx context.Context, l *linker.Link) {
-			up <- l
-			<-ctx.Done()
-		},
-		Clock: func() modeler.ClockReading {
-			return modeler.ClockReading(time.Since(began) + time.Duration(suspended.Load()))
-		},
-	}
-	ctx, stop := context.WithCancel(t.Context())
-	defer stop()
-	go keeper.Run(ctx)
-	l := <-up
-	send <- struct{}{}
-	m := <-l.Receive()
-	assert.Equal(t, m.Kind, modeler.QueryMessage)
-	suspended.Store(int64(3 * time.Second))
-	send <- struct{}{}
-	_, open := <-l.Receive()
-	assert.Assert(t, !open, "a message was taken after a suspension of three seconds")
-	close(send)
+		go keeper.Run(t.Context())
+		l := <-up
+		send <- struct{}{}
+		m := <-l.Receive()
+		assert.Equal(t, m.Kind, modeler.QueryMessage)
+		suspended.Store(int64(3 * time.Second))
+		send <- struct{}{}
+		_, open := <-l.Receive()
+		assert.Assert(t, !open, "a message was taken after a suspension of three seconds")
+	})
 }
 
 // Guards against messages that are taken after a suspension which began while the
--- a/linker/pipe_test.go
+++ b/linker/pipe_test.go
@@ -8,9 +8,12 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"goldcreststack.example/goldcreststack/linker"
+	"goldcreststack.example/goldcreststack/modeler"
 )
 
 // bufferedPipe is one end of a net.Pipe whose writes don't wait for the reader:
@@ -95,3 +98,25 @@
 }
 
 func (p *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// clockSince returns a clock that knows of no suspensions.
+func clockSince(start time.Time) func() modeler.ClockReading {
+	return func() modeler.ClockReading { return modeler.ClockReading(time.Since(start)) }
+}
+
+// openLink returns a link to the other side, which is kept open until it breaks.
+func (p *pipeListener) openLink(t *testing.T) *linker.Link {
+	up := make(chan *linker.Link, 1)
+	keeper := linker.Keeper{
+		Address: "other",
+		Hello:   func() modeler.Hello { return modeler.Hello{Member: 1} },
+		Connect: p.dial,
+		Clock:   clockSince(time.Now()),
+		OnLink: func(ctx context.Context, l *linker.Link) {
+			up <- l
+			<-ctx.Done()
+		},
+	}
+	go keeper.Run(t.Context())
+	return <-up
+}
