controller: the test of a refused change doesn't need two requests within 50 ms

TestRefusedChangeOfMembersIsReported sends two requests for admission at once and expects the second to be refused, which holds only if it reaches the leader before the first is committed, i.e. while a sync takes its 50 ms.

Change: the disk's syncs wait from before the requests until the refusal has been checked, so nothing can be committed in between. The expectations are the same.

--- a/controller/quorum_test.go
+++ b/controller/quorum_test.go
@@ -245,19 +245,25 @@
 // member was added although the change was refused, and does not say why.
 func TestRefusedChangeOfMembersIsReported(t *testing.T) {
 	disk := storer.SystemDisk()
-	slow := func(open func(string) (storer.File, error)) func(string) (storer.File, error) {
+	// Nothing is committed while syncs is locked.
+	var syncs sync.RWMutex
+	holdable := func(open func(string) (storer.File, error)) func(string) (storer.File, error) {
 		return func(path string) (storer.File, error) {
 			file, err := open(path)
 			sync := file.Sync
 			file.Sync = func() error {
-				time.Sleep(50 * time.Millisecond)
+				syncs.RLock()
+				defer syncs.RUnlock()
 				return sync()
 			}
 			return file, err
 		}
 	}
-	disk.Create, disk.Open = slow(disk.Create), slow(disk.Open)
+	disk.Create, disk.Open = holdable(disk.Create), holdable(disk.Open)
 	members, r := startWatchedGroup(t, 3, &disk)
+	syncs.Lock()
+	goOn := sync.OnceFunc(syncs.Unlock)
+	defer goOn()
 	log := members[0].log
 	fresh := []modeler.Member{{ID: 44, Address: "127.0.0.1:1"}, {ID: 55, Address: "127.0.0.1:2"}}
 	var group sync.WaitGroup
@@ -277,6 +283,7 @@
 	assert.Assert(t, strings.Contains(refused[0].Error, "another change of members"), refused[0].Error)
 	refusal := members[0].status(t).Quorum.Refusal
 	assert.Assert(t, strings.Contains(refusal, "another change of members"), refusal)
+	goOn()
 	for _, m := range fresh {
 		assert.Assert(t, admitted(t.Context(), r, m, recovery), "member %d is not admitted", m.ID)
 	}
