Test of a reload during the start uses an address of its own

TestReloadDuringStart starts a process at 127.0.0.1 with a free port, but the process also takes the next ports and the fixed port 9464. The free port that a listener gets is odd (200 of 200 here); the next one is even, as are those that the kernel takes for the callers' ends of connections, all at 127.0.0.1 (100 of 100). So any connection of the machine could hold it. With a connection from the next port the test failed 2 of 2 times ("the process has ended: exit status 1").

--- a/cmd/goldcreststack/hosted_test.go
+++ b/cmd/goldcreststack/hosted_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -15,11 +16,10 @@
 
 // Guards against a process that a change of the settings ends while it starts.
 func TestReloadDuringStart(t *testing.T) {
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	// The process also takes the ports after this one, and a fixed one.
+	free, err := netip.ParseAddrPort(freeAddresses(t, 1)[0])
 	assert.NilError(t, err)
-	port := free.Addr().(*net.TCPAddr).Port
-	assert.NilError(t, free.Close())
-	node := imitator.Node{Name: "e1", IP: "127.0.0.1", Entry: true, Port: port, Seeds: []string{"127.0.0.1:1"}}
+	node := imitator.Node{Name: "e1", IP: free.Addr().String(), Entry: true, Port: int(free.Port()), Seeds: []string{"127.0.0.1:1"}}
 	data, err := node.Encode()
 	assert.NilError(t, err)
 	// The process waits for its settings, which come over a named pipe.
@@ -37,7 +37,7 @@
 	assert.NilError(t, err)
 	assert.NilError(t, settings.Close())
 	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if conn, err := net.Dial("tcp", imitator.PortAddress(node.IP, port, 2)); err == nil {
+		if conn, err := net.Dial("tcp", imitator.PortAddress(node.IP, node.Port, 2)); err == nil {
 			_ = conn.Close()
 			return
 		}
