controller: a group in tests keeps its reserved ports

Seen: not in a run; found by reading. startGroup reserved three ports, gave them back, and listened on them again; a test of another package could take one of them in between.

Change: the listeners are passed on.

--- a/controller/replaced_test.go
+++ b/controller/replaced_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"slices"
 	"testing"
 	"time"
@@ -26,15 +27,16 @@
 // startGroup starts the members and waits until one of them leads.
 func startGroup(t *testing.T) *group {
 	g := &group{t: t, client: follower.New(modeler.Hello{Entry: "test"}, follower.Hooks{})}
+	var listeners []net.Listener
 	for id := range modeler.MemberID(3) {
-		free := listen(t, "127.0.0.1:0")
-		g.members = append(g.members, modeler.Member{ID: id + 1, Address: free.Addr().String()})
-		assert.NilError(t, free.Close())
+		l := listen(t, "127.0.0.1:0")
+		listeners = append(listeners, l)
+		g.members = append(g.members, modeler.Member{ID: id + 1, Address: l.Addr().String()})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	for _, m := range g.members {
-		g.stops = append(g.stops, startPeer(t, m.ID, listen(t, m.Address), g.members, false, nil))
+	for i, m := range g.members {
+		g.stops = append(g.stops, startPeer(t, m.ID, listeners[i], g.members, false, nil))
 		g.client.KeepLinks(ctx, []string{m.Address})
 	}
 	g.awaitLeader()
