Tests of replaced hosts with subtests run beside the others

In one run of it with -race on three cores beside a load average of 40 to 130 (654 s) the subtests of four tests took 25, 21, 38 and 22 s, one test after the other, and mostly waited.

Each fleet has a random /24 of 127.0.0.0/8, folders and processes of its own; -parallel bounds the fleets at a time as before.

--- a/cmd/goldcreststack/replaced_test.go
+++ b/cmd/goldcreststack/replaced_test.go
@@ -359,6 +359,7 @@
 
 // Guards against a leader that counts for good after it has departed, and against successors that can't join the next one.
 func TestReplacedLeadersStopCounting(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{3, 5} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			f := newFleet(t, size, 1)
@@ -374,6 +375,7 @@
 
 // Guards against hosts that count for good although they were stopped in order after their successors had come.
 func TestPlannedReplacementsStopCounting(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{3, 5} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			f := newFleet(t, size, 1)
--- a/cmd/goldcreststack/returning_test.go
+++ b/cmd/goldcreststack/returning_test.go
@@ -88,6 +88,7 @@
 
 // Guards against a frozen leader that isn't a voter any more, or disturbs the group, after it has carried on.
 func TestFrozenLeaderVotesAgain(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{3, 5} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			f := newFleet(t, size, 1)
@@ -113,6 +114,7 @@
 
 // Guards against changes of members that are lost, or done by halves, when hosts restart at the same time.
 func TestReplacementsBesideRestarts(t *testing.T) {
+	t.Parallel()
 	restarts := map[string]func(f *fleet, leader *host){
 		"all are killed": func(f *fleet, leader *host) {
 			known := f.seeds(leader)
