--- a/cmd/goldcreststack/hosted.go
+++ b/cmd/goldcreststack/hosted.go
@@ -54,6 +54,6 @@
 	control := add(loader.ControlRole, "Run a member of the replicated group", func(ctx context.Context, node *platform.Node, report *reporter.Reporter) error {
 		return hoster.RunControl(ctx, node, report, bind)
 	})
-	control.Flags().StringVar(&bind, "bind", "", "IP address to accept links at, if it is not the advertised one")
+	control.Flags().StringVar(&bind, "bind", "", "IP address to accept links at and to open them from, if it is not the advertised one")
 	return cmd
 }
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -54,6 +54,8 @@
 	Report  *reporter.Reporter
 	// Listener is used instead of listening on Listen if it is set.
 	Listener net.Listener
+	// Connect, if set, opens the links to other members instead of the network's dialer.
+	Connect linker.Connect
 	// Disk replaces the operating system's files if it is set.
 	Disk *storer.Disk
 	// SnapshotEvery is the number of log entries between two snapshots, 20,000 by
@@ -133,6 +135,7 @@
 	c.orders = newOrderSender(c.post)
 	c.counts = newCounts(settings.Report)
 	c.peers = newPeerLinks(settings.Member, settings.First.Members, settings.Report, c.servePeer)
+	c.peers.connect = settings.Connect
 	c.core, err = newCore(c, saved)
 	if err != nil {
 		_ = store.Close()
--- a/controller/links.go
+++ b/controller/links.go
@@ -71,6 +71,8 @@
 	dropped *metrics.Counter
 	seeds   []modeler.Member
 	changed chan struct{}
+	// connect, if set, opens the links instead of the network's dialer.
+	connect linker.Connect
 	// serve takes the messages that come over an outgoing link.
 	serve func(ctx context.Context, l *linker.Link)
 
@@ -258,6 +260,7 @@
 	keeper := linker.Keeper{
 		Address:   address,
 		RedialNow: redial,
+		Connect:   p.connect,
 		Hello:     func() modeler.Hello { return modeler.Hello{Member: p.self} },
 		OnLink:    func(ctx context.Context, l *linker.Link) { p.useLink(ctx, address, l) },
 	}
--- a/follower/client.go
+++ b/follower/client.go
@@ -35,6 +35,8 @@
 	// opened and closed.
 	LeaderUp   func(ctx context.Context, term modeler.Term)
 	LeaderDown func(ctx context.Context, term modeler.Term)
+	// Connect opens the links instead of the network's dialer.
+	Connect linker.Connect
 	// Message is called with each message that is not the answer to a call.
 	Message func(ctx context.Context, l *linker.Link, m *modeler.Message)
 }
@@ -110,6 +112,7 @@
 	keeping, stop := context.WithCancel(ctx)
 	keeper := linker.Keeper{
 		Address: address,
+		Connect: c.hooks.Connect,
 		Hello:   func() modeler.Hello { return c.hello },
 		OnLink: func(linked context.Context, l *linker.Link) {
 			// A keeper that another one has started must outlive it.
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -26,6 +26,7 @@
 	"goldcreststack.example/goldcreststack/controller"
 	"goldcreststack.example/goldcreststack/dispatcher"
 	"goldcreststack.example/goldcreststack/drainer"
+	"goldcreststack.example/goldcreststack/linker"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/platform"
 	"goldcreststack.example/goldcreststack/pruner"
@@ -130,7 +131,7 @@
 	startTime     time.Time
 }
 
-func newProcess(node *platform.Node, report *reporter.Reporter) *process {
+func newProcess(node *platform.Node, report *reporter.Reporter, connect linker.Connect) *process {
 	setMemoryLimit(node)
 	p := &process{node: node, report: report, client: platform.NewClient(), clock: clocker.New(), startTime: time.Now()}
 	settings := relayer.Settings{
@@ -139,7 +140,8 @@
 		Ask: func(ctx context.Context, request *modeler.PermitRequest) modeler.PermitAnswer {
 			return p.client.RequestPermits(ctx, node.PolicyAddress, request)
 		},
-		Report: report,
+		Report:  report,
+		Connect: connect,
 	}
 	if node.ControlAddress != "" {
 		// Entry hosts lack the processor time and network for carrying orders.
@@ -192,7 +194,7 @@
 // RunEntry serves callers until ctx ends. It returns an error if an address can't
 // be opened or a server fails.
 func RunEntry(ctx context.Context, node *platform.Node, report *reporter.Reporter) error {
-	p := newProcess(node, report)
+	p := newProcess(node, report, nil)
 	report.Info("entry process starts", "address", node.CallerAddress, "seeds", node.Seeds)
 	return p.run(ctx, nil, map[string]http.Handler{
 		node.CallerAddress:    p.server.CallerHandler(),
@@ -201,15 +203,20 @@
 }
 
 // RunControl runs a member of the replicated group until ctx ends. If bind is not
-// empty, links are accepted at that IP address instead of the advertised one, for
-// a host behind network address translation. It returns an error if the member
-// can't be created, an address can't be opened or a server fails.
+// empty, links are accepted at and opened from that IP address, for a host behind
+// network address translation. It returns an error if the member can't be created,
+// an address can't be opened or a server fails.
 func RunControl(ctx context.Context, node *platform.Node, report *reporter.Reporter, bind string) error {
-	p := newProcess(node, report)
+	var connect linker.Connect
+	if bind != "" {
+		connect = linker.ConnectFrom(bind)
+	}
+	p := newProcess(node, report, connect)
 	settings, err := p.controllerSettings()
 	if err != nil {
 		return err
 	}
+	settings.Connect = connect
 	if bind != "" {
 		_, port, err := net.SplitHostPort(node.LinkAddress)
 		if err != nil {
--- a/linker/link.go
+++ b/linker/link.go
@@ -60,6 +60,11 @@
 // connect is the default Connect: a TCP dialer with connectTimeout.
 var connect = (&net.Dialer{Timeout: connectTimeout}).DialContext
 
+// ConnectFrom returns the default Connect with connections from the IP address.
+func ConnectFrom(ip string) Connect {
+	return (&net.Dialer{Timeout: connectTimeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}).DialContext
+}
+
 // Dial opens a link to address and exchanges the first messages. The error's
 // kind is ConnectFailed if the connection fails.
 func Dial(ctx context.Context, address string, hello modeler.Hello) (*Link, error) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -49,6 +49,8 @@
 	// LinkAddress is the address on which a process that carries orders accepts
 	// links.
 	LinkAddress string
+	// Connect, if set, opens the links instead of the network's dialer.
+	Connect linker.Connect
 	// Clock returns readings that count suspensions of the host; the time since
 	// the relayer's creation by default.
 	Clock  func() modeler.ClockReading
@@ -126,6 +128,7 @@
 			settings.Report.Info("leader lost", "term", term, "outage", r.Outage().String())
 		},
 		Message: r.handleMessage,
+		Connect: settings.Connect,
 	})
 	return r
 }
