Soak: former configurations arrive again, and other content under a version

What was missing: the soak didn't find an older configuration in force (docs/not-proved.md). Its operator only ever sent higher versions, while the platform's pages say that an older change may arrive again, and that a configuration whose version isn't higher is acknowledged and changes nothing.

Change: after one acknowledgement in four, and at the end, the operator sends the former version again, and other content under the acknowledged one. The checks of the end then see what is in force.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -23,6 +23,8 @@
 	answerTimeout = 3 * time.Second
 	queueHost     = "q.example"
 	queuePath     = "/jobs/"
+	// unusedVersions is added to a version for a marker that no configuration has.
+	unusedVersions = 1 << 32
 )
 
 // startPolicy serves a stand-in for the outside policy, which permits about half
@@ -198,6 +200,9 @@
 	for ctx.Err() == nil {
 		version++
 		w.applyConfiguration(ctx, client, version)
+		if rand.IntN(4) == 0 {
+			w.repeatConfigurations(ctx, client)
+		}
 		for range 3 {
 			w.sleep(time.Duration(100+rand.IntN(300)) * time.Millisecond)
 			w.readConfiguration(client)
@@ -210,22 +215,42 @@
 func markerPath(version uint64) string { return fmt.Sprintf("/version-%d/", version) }
 
 func (w *world) applyConfiguration(ctx context.Context, client *http.Client, version uint64) {
-	body := imitator.Layout(version, queueHost, queuePath, markerPath(version))
+	if !w.sendConfiguration(ctx, client, version, version) {
+		return
+	}
+	w.check.mu.Lock()
+	w.check.versions = append(w.check.versions, acknowledgement{version: version, at: time.Now()})
+	w.check.mu.Unlock()
+	w.check.noteAcknowledgement()
+}
+
+// sendConfiguration sends a configuration whose queue has the marker, until a process
+// acknowledges it.
+func (w *world) sendConfiguration(ctx context.Context, client *http.Client, version, marker uint64) bool {
+	body := imitator.Layout(version, queueHost, queuePath, markerPath(marker))
 	for ctx.Err() == nil {
 		status, _ := send(client, http.MethodPut, w.randomControl(), imitator.LayoutPath, body)
 		switch {
 		case status == http.StatusOK:
-			w.check.mu.Lock()
-			w.check.versions = append(w.check.versions, acknowledgement{version: version, at: time.Now()})
-			w.check.mu.Unlock()
-			w.check.noteAcknowledgement()
-			return
+			return true
 		case status >= 400 && status < 500:
 			w.check.recordViolation("configuration %d was refused with %d", version, status)
-			return
+			return false
 		}
 		w.sleep(100 * time.Millisecond)
 	}
+	return false
+}
+
+// repeatConfigurations sends a former version again, and other content under the
+// acknowledged one. Both are to be acknowledged and to change nothing.
+func (w *world) repeatConfigurations(ctx context.Context, client *http.Client) {
+	version := w.check.newestVersion()
+	if version < 2 {
+		return
+	}
+	w.sendConfiguration(ctx, client, version-1, version-1)
+	w.sendConfiguration(ctx, client, version, version+unusedVersions)
 }
 
 func (w *world) readConfiguration(client *http.Client) {
--- a/soaker/recovery.go
+++ b/soaker/recovery.go
@@ -153,6 +153,9 @@
 // acknowledged configuration is in force in every process and that every accepted
 // job is known.
 func (w *world) checkEnd() {
+	ctx, cancel := context.WithTimeout(w.ctx, recoveryLimit)
+	defer cancel()
+	w.repeatConfigurations(ctx, w.newClient(time.Second))
 	// Older configurations may be in force for applyLimit, and processes are in touch
 	// again, after a fault of most control hosts, twice contactTime later.
 	w.sleep(max(applyLimit, 2*contactTime-time.Since(w.faultsEnded)))
