Soak: partitions, disks lost during replacements, signals in series

What was missing, by counting the faults of plays: no control host was ever cut off in both directions (cut links of a host left those that it had opened itself, and lagging hosts went on receiving entries over them), no disk was lost while a planned replacement was under way with fewer than nine hosts, and a process got at most one signal at a time. Hosts lagged behind in half of the plays.

Change: -overlap, on by default with random seeds, adds partitions of the control hosts (one host or a half, every other time with the leader; entry processes, workers and callers reach both sides), planned replacements with a disk of another host lost before the former host goes, series of up to six signals, and hosts that lag behind in each play. Of a group with learners, voters are cut off. All plays tell their faults with -v.

--- a/soaker/lagging.go
+++ b/soaker/lagging.go
@@ -1,7 +1,9 @@
 package soaker
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -18,7 +20,8 @@
 // the control hosts off, waits for an acknowledgement, then heals the links, empties
 // the disk of one of the other hosts and pauses the rest of them for a while. No
 // leader may be elected meanwhile, since the host without a disk has forgotten its
-// votes and entries.
+// votes and entries. Voters are cut off rather than learners: those that are cut off
+// may be most of the voters, and then nothing may be acknowledged.
 func (w *world) loseNewest(random *rand.Rand) {
 	if w.tolerance == 0 {
 		return
@@ -26,12 +29,22 @@
 	w.awaitCaughtUp()
 	hosts := w.controlHosts()
 	order := random.Perm(len(hosts))
+	if w.settings.Overlap {
+		ranks := w.ranks(hosts)
+		slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(ranks[hosts[b]], ranks[hosts[a]]) })
+	}
 	quorum := len(hosts)/2 + 1
 	emptied, paused, lagging := order[0], order[1:quorum], order[quorum:]
+	var separated []*process
 	for _, slot := range lagging {
 		w.logFault("cut links to %s until it lags behind", hosts[slot].name)
 		hosts[slot].loseFor(lagTime + acknowledgementWait)
 		hosts[slot].link.silence(0, 1)
+		separated = append(separated, hosts[slot])
+	}
+	if w.settings.Overlap {
+		// Without it, the others reach these hosts over the links that they have opened.
+		w.separate(separated)
 	}
 	w.sleep(lagTime)
 	w.check.awaitAcknowledgement(acknowledgementWait)
@@ -44,6 +57,7 @@
 	w.countLoss(emptied)
 	hosts[emptied].kill(0, func() { w.emptyDisk(hosts[emptied]) })
 	w.setSuccessor(emptied, hosts[emptied])
+	w.join()
 	for _, slot := range lagging {
 		hosts[slot].link.heal()
 	}
@@ -52,3 +66,25 @@
 		hosts[slot].signal(syscall.SIGCONT)
 	}
 }
+
+// ranks returns higher numbers for hosts that rather aren't cut off: those that the
+// leader shows as learners and, if there are any, the leader itself.
+func (w *world) ranks(hosts []*process) map[*process]int {
+	ranks := make(map[*process]int)
+	client := w.newClient(time.Second)
+	leader := w.leaderSlot(client)
+	if leader < 0 {
+		return ranks
+	}
+	members, err := readMembers(client, hosts[leader])
+	if err != nil {
+		return ranks
+	}
+	for _, p := range hosts {
+		if slices.ContainsFunc(members, func(m member) bool { return m.Learner && m.Address == w.linkAddress(p.host) }) {
+			ranks[p] = 2
+			ranks[hosts[leader]] = 1
+		}
+	}
+	return ranks
+}
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -28,7 +29,8 @@
 	name string
 	role string
 	host string
-	// bind is the IP address that a control process binds behind its proxy.
+	// bind is the IP address that a control process binds behind its proxy, and from
+	// which it opens links.
 	bind         string
 	settingsFile string
 	data         string
@@ -61,7 +63,8 @@
 	p := &process{name: fmt.Sprintf("control-%d", n+1), role: "control", host: w.ip(advertisedAddress, n), bind: w.ip(bindAddress, n)}
 	p.data = filepath.Join(w.settings.Folder, p.name)
 	var err error
-	if p.link, err = newProxy(w.linkAddress(p.host), w.linkAddress(p.bind)); err != nil {
+	isSeparated := func(client net.Conn) bool { return w.isSeparated(p, client) }
+	if p.link, err = newProxy(w.linkAddress(p.host), w.linkAddress(p.bind), isSeparated); err != nil {
 		return nil, err
 	}
 	w.mu.Lock()
--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -22,6 +22,9 @@
 	// silenceNew makes new connections silent in both directions: they stay
 	// open and forward nothing.
 	silenceNew atomic.Bool
+	// isSeparated reports whether a partition separates the process that has opened a
+	// connection from the target.
+	isSeparated func(client net.Conn) bool
 	// vanished is set when the host at the target is gone without a trace: no
 	// connection gets an answer, a reset or an end any more.
 	vanished atomic.Bool
@@ -32,14 +35,27 @@
 	client, server net.Conn
 	// silenced holds back the bytes to the target (0) or from it (1).
 	silenced [2]atomic.Bool
+	// separated is set while a partition silences the connection.
+	separated atomic.Bool
 }
 
-func newProxy(address, target string) (*proxy, error) {
+func (c *pipe) silence(directions ...int) {
+	for _, d := range directions {
+		c.silenced[d].Store(true)
+	}
+}
+
+func (c *pipe) separate() {
+	c.separated.Store(true)
+	c.silence(0, 1)
+}
+
+func newProxy(address, target string, isSeparated func(client net.Conn) bool) (*proxy, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{target: target, listener: listener, conns: make(map[*pipe]bool)}
+	p := &proxy{target: target, listener: listener, conns: make(map[*pipe]bool), isSeparated: isSeparated}
 	go p.accept()
 	return p, nil
 }
@@ -65,13 +81,16 @@
 		return
 	}
 	c := &pipe{client: client, server: server}
-	if p.silenceNew.Load() {
-		c.silenced[0].Store(true)
-		c.silenced[1].Store(true)
-	}
 	p.mu.Lock()
 	p.conns[c] = true
 	p.mu.Unlock()
+	// A fault that begins after the connection was added sees it there.
+	if p.silenceNew.Load() {
+		c.silence(0, 1)
+	}
+	if p.isSeparated(client) {
+		c.separate()
+	}
 	var directions sync.WaitGroup
 	directions.Go(func() { p.copy(c, 0, server, client) })
 	directions.Go(func() { p.copy(c, 1, client, server) })
@@ -167,9 +186,25 @@
 // silent too.
 func (p *proxy) silence(directions ...int) {
 	p.silenceNew.Store(len(directions) > 1)
+	p.eachConn(func(c *pipe) { c.silence(directions...) })
+}
+
+// separate silences the open connections that the partition separates.
+func (p *proxy) separate() {
+	p.eachConn(func(c *pipe) {
+		if p.isSeparated(c.client) {
+			c.separate()
+		}
+	})
+}
+
+// join resets the connections that a partition has silenced.
+func (p *proxy) join() {
 	p.eachConn(func(c *pipe) {
-		for _, d := range directions {
-			c.silenced[d].Store(true)
+		if c.separated.Load() {
+			delete(p.conns, c)
+			reset(c.client)
+			reset(c.server)
 		}
 	})
 }
--- a/soaker/replacing.go
+++ b/soaker/replacing.go
@@ -60,6 +60,10 @@
 	defer w.releaseSlot(slot)
 	switch kind {
 	case 2, 3:
+		if kind == 3 && w.settings.Overlap {
+			w.replaceDuringLoss(slot, end)
+			return
+		}
 		w.replacePlanned(slot, overlap, end)
 	case 4:
 		w.wipe(slot, end)
@@ -135,22 +139,53 @@
 // replacePlanned starts a successor of the slot's host at another address, and
 // stops the host in order after the overlap.
 func (w *world) replacePlanned(slot int, overlap time.Duration, end time.Time) {
+	if successor := w.addSuccessor(slot, end); successor != nil {
+		w.sleep(overlap)
+		w.stopFormer(slot, successor)
+	}
+}
+
+// replaceDuringLoss starts a successor of the slot's host at another address, empties
+// the disk of another host once the successor counts no longer as lost, and stops the
+// host in order as soon as that is allowed.
+func (w *world) replaceDuringLoss(slot int, end time.Time) {
+	successor := w.addSuccessor(slot, end)
+	if successor == nil {
+		return
+	}
+	for w.countsAsLost(slot) && w.ctx.Err() == nil {
+		w.sleep(allowanceInterval)
+	}
+	if other := (slot + 1) % w.settings.Control; w.reserveSlot(other) {
+		w.wipe(other, end)
+		w.releaseSlot(other)
+	}
+	w.stopFormer(slot, successor)
+}
+
+// addSuccessor starts a successor of the slot's host at another address, and returns
+// nil if that isn't allowed before the end.
+func (w *world) addSuccessor(slot int, end time.Time) *process {
 	// A new host counts as lost until it has caught up, too.
 	if !w.awaitAllowance(slot, end) {
-		return
+		return nil
 	}
 	successor, err := w.startSuccessor()
 	if err != nil {
 		w.check.recordViolation("a control host can't be added: %v", err)
-		return
+		return nil
 	}
 	w.setSuccessor(slot, successor)
-	former := w.controlHosts()[slot]
-	w.logFault("%s is to take the place of %s", successor.name, former.name)
-	w.sleep(overlap)
+	w.logFault("%s is to take the place of %s", successor.name, w.controlHosts()[slot].name)
+	return successor
+}
+
+// stopFormer stops the slot's host in order for good, as soon as that is allowed.
+func (w *world) stopFormer(slot int, successor *process) {
 	if !w.countsAsLost(slot) && !w.awaitAllowance(slot, time.Time{}) {
 		return
 	}
+	former := w.controlHosts()[slot]
 	w.logFault("stop %s for good", former.name)
 	w.endListing(former)
 	w.setHost(slot, successor)
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -25,6 +25,7 @@
 	folder      = flag.String("folder", "", "folder for settings, data and logs")
 	workers     = flag.Int("workers", 6, "number of stand-in workers")
 	replace     = flag.Bool("replace", true, "replace control hosts, with random seeds and with -seed")
+	overlap     = flag.Bool("overlap", true, "with -replace, add partitions, disks lost during replacements and signals in series")
 	concurrency = flag.Int("concurrency", 8, "number of soaks to run side by side")
 )
 
@@ -80,6 +81,12 @@
 	915517524,
 }
 
+// keptOverlapping are seeds with replacements of hosts and faults that overlap them.
+var keptOverlapping = []uint64{1, 2, 3}
+
+// keptLearners are seeds like keptOverlapping, for a group with learners.
+var keptLearners = []uint64{1}
+
 // longLength is the time for faults of longReplacements.
 const longLength = 20 * time.Second
 
@@ -107,40 +114,64 @@
 // plays bounds the soaks that run side by side, of all tests.
 var plays = sync.OnceValue(func() chan struct{} { return make(chan struct{}, *concurrency) })
 
+// extent tells which faults a soak injects.
+type extent int
+
+const (
+	plain extent = iota
+	replacing
+	overlapping
+)
+
+// chosenExtent returns the extent that the flags choose.
+func chosenExtent() extent {
+	switch {
+	case !*replace:
+		return plain
+	case !*overlap:
+		return replacing
+	default:
+		return overlapping
+	}
+}
+
 // soak runs the soak with one seed in each subtest.
-type soak struct{ binary string }
+type soak struct {
+	binary string
+	// control is the number of control processes.
+	control int
+}
 
 // newSoak builds the program, and lets the test run beside the other soaks.
 func newSoak(t *testing.T) *soak {
-	k := &soak{binary: buildBinary(t)}
+	k := &soak{binary: buildBinary(t), control: *control}
 	t.Parallel()
 	return k
 }
 
-func (k *soak) run(t *testing.T, replaces bool, length time.Duration, seeds ...uint64) {
+func (k *soak) run(t *testing.T, faults extent, length time.Duration, seeds ...uint64) {
 	for _, s := range seeds {
 		t.Run(fmt.Sprint(s), func(t *testing.T) {
 			t.Parallel()
 			plays() <- struct{}{}
 			defer func() { <-plays() }()
-			k.runSeed(t, replaces, length, s)
+			k.runSeed(t, faults, length, s)
 		})
 	}
 }
 
 // runSeed runs the soak with one seed and fails the test for each broken promise.
-func (k *soak) runSeed(t *testing.T, replaces bool, length time.Duration, s uint64) {
+func (k *soak) runSeed(t *testing.T, faults extent, length time.Duration, s uint64) {
 	report, err := soaker.Run(t.Context(), soaker.Settings{
 		Seed: s, Length: length, Binary: k.binary, Folder: testFolder(t),
-		Control: *control, Entries: *entries, Workers: *workers, Replace: replaces,
+		Control: k.control, Entries: *entries, Workers: *workers,
+		Replace: faults >= replacing, Overlap: faults >= overlapping,
 	})
 	assert.NilError(t, err)
 	t.Logf("seed %d: %d jobs, %d starts, %d faults", s, report.Jobs, report.Starts, len(report.Faults))
 	assert.Check(t, report.Starts > 0, "no task was started")
-	if len(report.Violations) > 0 {
-		for _, line := range report.Faults {
-			t.Log(line)
-		}
+	for _, line := range report.Faults {
+		t.Log(line)
 	}
 	for _, line := range report.Violations {
 		t.Error(line)
@@ -152,12 +183,12 @@
 func TestSoak(t *testing.T) {
 	soak := newSoak(t)
 	if *seed != 0 {
-		soak.run(t, *replace, *length, *seed)
+		soak.run(t, chosenExtent(), *length, *seed)
 		return
 	}
-	soak.run(t, false, *length, keptSeeds...)
+	soak.run(t, plain, *length, keptSeeds...)
 	for range *seeds {
-		soak.run(t, *replace, *length, rand.Uint64N(1<<32))
+		soak.run(t, chosenExtent(), *length, rand.Uint64N(1<<32))
 	}
 }
 
@@ -166,8 +197,22 @@
 // disks, and all hosts have lost their power.
 func TestSoakReplacements(t *testing.T) {
 	soak := newSoak(t)
-	soak.run(t, true, *length, keptReplacements...)
-	soak.run(t, true, max(*length, longLength), longReplacements...)
+	soak.run(t, replacing, *length, keptReplacements...)
+	soak.run(t, replacing, max(*length, longLength), longReplacements...)
+}
+
+// Guards against the same while partitions, lost disks and series of signals overlap
+// the replacements.
+func TestSoakOverlapping(t *testing.T) {
+	newSoak(t).run(t, overlapping, *length, keptOverlapping...)
+}
+
+// Guards against commits that learners count for: seven hosts that tolerate one loss
+// have five voters.
+func TestSoakLearners(t *testing.T) {
+	soak := newSoak(t)
+	soak.control = 7
+	soak.run(t, overlapping, *length, keptLearners...)
 }
 
 // Guards against soaks that use each other's addresses: some ports of the
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -30,6 +30,9 @@
 	// Replace adds replacements of control hosts, lost disks, other seeds and a
 	// final fault.
 	Replace bool
+	// Overlap adds to the replacements partitions of the control hosts, disks lost
+	// during planned replacements and signals in series.
+	Overlap bool
 }
 
 const (
@@ -85,6 +88,8 @@
 	diskLosses map[int]*diskLoss
 	// changing has the slots whose host is being changed.
 	changing map[int]bool
+	// divided is the partition of the control hosts, nil if there is none.
+	divided atomic.Pointer[partition]
 	// hostCount is the number of control hosts that have existed.
 	hostCount int
 	// faults lists the injected faults.
@@ -155,10 +160,13 @@
 		random := rand.New(rand.NewPCG(w.changes.Uint64(), 0))
 		series.Go(func() { w.changeHosts(length, random) })
 	}
+	if w.settings.Overlap && w.tolerance > 0 {
+		series.Go(func() { w.overlapFaults(length, rand.New(rand.NewPCG(w.settings.Seed, 2))) })
+	}
 	w.injectFaults(length)
 	series.Wait()
 	w.healAll()
-	if random := rand.New(rand.NewPCG(w.settings.Seed, 1)); random.IntN(2) == 0 {
+	if random := rand.New(rand.NewPCG(w.settings.Seed, 1)); random.IntN(2) == 0 || w.settings.Overlap {
 		w.loseNewest(random)
 	}
 	w.injectFinalFault(final)
