Soak: a machine that delays processes counts as slowed hosts

Change: the soak reads from the kernel how long threads of the control processes, and its own, have waited for a processor. A wait above 400 ms, after which members hold elections, is told among the faults and counts as a loss of the host (of all hosts, if the soak itself waited, since it carries their links). The limits of the end begin anew after it, for 30 s at most. If the machine is still slow 30 s after the last temporary fault, no further disk is lost in this play, all control hosts lose their power at the end, and the play says so. On a machine that delays nothing, nothing changes.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -280,14 +280,14 @@
 // that are still open after settleTime are recorded as a violation.
 func (w *world) awaitJobs() {
 	client := w.newClient(answerTimeout)
-	end := time.Now().Add(settleTime)
+	begun := time.Now()
 	for {
 		unendedJobs := w.unendedJobs(client)
 		if len(unendedJobs) == 0 || w.ctx.Err() != nil {
 			w.checkMetrics(client)
 			return
 		}
-		if time.Now().After(end) {
+		if w.isOver(begun, settleTime) {
 			w.check.recordViolation("%d accepted jobs have not ended %v after the last fault, such as %s", len(unendedJobs), settleTime, unendedJobs[0])
 			return
 		}
@@ -300,7 +300,11 @@
 func (w *world) checkMetrics(client *http.Client) {
 	var metrics strings.Builder
 	for _, p := range w.processes() {
+		begun := time.Now()
 		status, body := send(client, http.MethodGet, net.JoinHostPort(p.host, metricsPort), "/metrics", "")
+		for status == 0 && !w.isOver(begun, answerTimeout) {
+			status, body = send(client, http.MethodGet, net.JoinHostPort(p.host, metricsPort), "/metrics", "")
+		}
 		if status != http.StatusOK && w.ctx.Err() == nil {
 			w.check.recordViolation("%s answers %d when asked for its metrics", p.name, status)
 		}
--- /dev/null
+++ b/soaker/delay.go
@@ -0,0 +1,91 @@
+package soaker
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+const (
+	// delayCheckInterval is the time between two checks of the machine's delays.
+	delayCheckInterval = 200 * time.Millisecond
+	// longestDelay is the longest wait for a processor that doesn't count as a loss of
+	// the host. Members hold elections after longer ones.
+	longestDelay = 400 * time.Millisecond
+	// calmLimit bounds the wait for a machine that goes on delaying processes.
+	calmLimit = 30 * time.Second
+)
+
+// watchDelays counts control hosts as lost whose processes wait long for a processor,
+// and all of them if the soak itself does, since it carries their links. The users
+// count slowed hosts as lost, until they have had the time to catch up.
+func (w *world) watchDelays() {
+	waits := make(map[string]time.Duration)
+	for ; w.ctx.Err() == nil; w.sleep(delayCheckInterval) {
+		begun := time.Now()
+		hosts := w.controlHosts()
+		for _, p := range hosts {
+			if delay := longestWait(p.pid(), waits); delay > longestDelay {
+				w.noteDelay(p.name, delay, p)
+			}
+		}
+		if delay := longestWait(os.Getpid(), waits); delay > longestDelay {
+			w.noteDelay("the soak", delay, hosts...)
+		}
+		w.checkedAt.Store(begun.UnixNano())
+	}
+}
+
+// noteDelay counts the processes as lost until they have had the time to catch up.
+func (w *world) noteDelay(name string, delay time.Duration, lost ...*process) {
+	w.logFault("the machine delays %s by %v", name, delay.Round(time.Millisecond))
+	w.delayedAt.Store(time.Now().UnixNano())
+	for _, p := range lost {
+		p.loseFor(0)
+	}
+}
+
+// pid returns the id of the operating system process, or 0 if it doesn't run.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.running {
+		return 0
+	}
+	return p.command.Process.Pid
+}
+
+// longestWait returns the longest time for which a thread of the process has waited
+// for a processor since the last call, whose sums are in waits.
+func longestWait(pid int, waits map[string]time.Duration) time.Duration {
+	var longest time.Duration
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	if err != nil {
+		return 0
+	}
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			// The thread has ended.
+			continue
+		}
+		var run, wait time.Duration
+		if _, err := fmt.Sscan(string(data), &run, &wait); err != nil {
+			continue
+		}
+		if last, known := waits[file]; known {
+			longest = max(longest, wait-last)
+		}
+		waits[file] = wait
+	}
+	return longest
+}
+
+// isOver reports whether a time limit of the users has passed. Such limits hold for
+// hosts in touch, so they begin anew when the machine delays a process, for calmLimit
+// at most. A delay shows in the check that begins after it.
+func (w *world) isOver(begun time.Time, limit time.Duration) bool {
+	delayed, checked := time.Unix(0, w.delayedAt.Load()), time.Unix(0, w.checkedAt.Load())
+	return checked.After(later(begun, delayed).Add(limit)) || time.Since(begun) > limit+calmLimit
+}
--- a/soaker/final.go
+++ b/soaker/final.go
@@ -54,7 +54,10 @@
 // injectFinalFault waits until all hosts have caught up, injects the final fault
 // right after an acknowledgement, and waits until all processes are back.
 func (w *world) injectFinalFault(f finalFault) {
-	w.awaitCaughtUp()
+	if !w.awaitCaughtUp() {
+		// All hosts may lose their power even so.
+		f.loseControl, f.loseDisks = true, false
+	}
 	hosts := w.controlHosts()
 	if leader := w.leaderSlot(w.newClient(time.Second)); f.aimed && leader >= 0 {
 		f.slots = append([]int{leader}, f.slots...)
@@ -85,17 +88,22 @@
 	w.awaitRunning()
 }
 
-// awaitCaughtUp waits until no host counts as lost.
-func (w *world) awaitCaughtUp() {
-	for end := time.Now().Add(caughtUpLimit); w.ctx.Err() == nil; w.sleep(allowanceInterval) {
-		if w.lossCount() == 0 {
-			return
-		}
-		if time.Now().After(end) {
+// awaitCaughtUp waits until no host counts as lost. It reports false if the machine
+// goes on delaying processes for calmLimit, counted from the end of the temporary
+// faults: then no further loss is allowed.
+func (w *world) awaitCaughtUp() bool {
+	for begun := time.Now(); w.ctx.Err() == nil && w.lossCount() > 0; w.sleep(allowanceInterval) {
+		delayed := time.Unix(0, w.delayedAt.Load())
+		switch {
+		case time.Since(later(begun, delayed)) > caughtUpLimit:
 			w.check.recordViolation("control processes ended by themselves in the %v after the last fault", caughtUpLimit)
-			return
+			return true
+		case time.Since(w.healedAt) > calmLimit && time.Since(delayed) < 2*catchUp:
+			w.logFault("the machine is too slow for a further loss")
+			return false
 		}
 	}
+	return true
 }
 
 // awaitRunning waits until all processes run again.
--- a/soaker/lagging.go
+++ b/soaker/lagging.go
@@ -23,10 +23,9 @@
 // votes and entries. Voters are cut off rather than learners: those that are cut off
 // may be most of the voters, and then nothing may be acknowledged.
 func (w *world) loseNewest(random *rand.Rand) {
-	if w.tolerance == 0 {
+	if w.tolerance == 0 || !w.awaitCaughtUp() {
 		return
 	}
-	w.awaitCaughtUp()
 	hosts := w.controlHosts()
 	order := random.Perm(len(hosts))
 	if w.settings.Overlap {
--- a/soaker/recovery.go
+++ b/soaker/recovery.go
@@ -31,15 +31,13 @@
 func (w *world) awaitRecovery() bool {
 	begun := time.Now()
 	w.faultsEnded = begun
-	ctx, cancel := context.WithTimeout(w.ctx, recoveryLimit)
-	defer cancel()
 	failures := make([]string, 0, len(w.entries)+2)
 	var mu sync.Mutex
 	var conditions sync.WaitGroup
 	expect := func(poll func() string) {
 		conditions.Go(func() {
 			failure := poll()
-			for ; failure != "" && ctx.Err() == nil; failure = poll() {
+			for ; failure != "" && w.ctx.Err() == nil && !w.isOver(begun, recoveryLimit); failure = poll() {
 				w.sleep(100 * time.Millisecond)
 			}
 			if failure != "" {
@@ -176,11 +174,11 @@
 // expectWithin polls until the condition holds, and records the failure if it
 // doesn't within the limit.
 func (w *world) expectWithin(limit time.Duration, failure string, holds func() bool) {
-	for end := time.Now().Add(limit); !holds(); w.sleep(100 * time.Millisecond) {
+	for begun := time.Now(); !holds(); w.sleep(100 * time.Millisecond) {
 		if w.ctx.Err() != nil {
 			return
 		}
-		if time.Now().After(end) {
+		if w.isOver(begun, limit) {
 			w.check.recordViolation("%s", failure)
 			return
 		}
@@ -236,7 +234,7 @@
 // answersFor asks for a job's state until an entry process answers, up to
 // visibleLimit.
 func (w *world) answersFor(client *http.Client, id string) bool {
-	for end := time.Now().Add(visibleLimit); w.ctx.Err() == nil && time.Now().Before(end); w.sleep(100 * time.Millisecond) {
+	for begun := time.Now(); w.ctx.Err() == nil && !w.isOver(begun, visibleLimit); w.sleep(100 * time.Millisecond) {
 		p := w.randomEntry()
 		sent := time.Now()
 		if state := w.askState(client, id, p); state != "" {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -76,7 +76,9 @@
 	// users allow, counted from faultsBegan.
 	excessPeriods []period
 	faultsBegan   time.Time
-	faultsEnded   time.Time
+	// healedAt is the end of the temporary faults, and faultsEnded that of all faults.
+	healedAt    time.Time
+	faultsEnded time.Time
 
 	mu sync.Mutex
 	// control has the current control process of each slot, and started all control
@@ -90,6 +92,9 @@
 	changing map[int]bool
 	// divided is the partition of the control hosts, nil if there is none.
 	divided atomic.Pointer[partition]
+	// delayedAt is the time at which the machine has delayed a process last, and
+	// checkedAt the begin of the last check for that, in nanoseconds.
+	delayedAt, checkedAt atomic.Int64
 	// hostCount is the number of control hosts that have existed.
 	hostCount int
 	// faults lists the injected faults.
@@ -121,6 +126,7 @@
 	if err := w.startAll(); err != nil {
 		return Report{}, err
 	}
+	go w.watchDelays()
 	var callers sync.WaitGroup
 	running, end := context.WithCancel(ctx)
 	defer end()
@@ -166,6 +172,7 @@
 	w.injectFaults(length)
 	series.Wait()
 	w.healAll()
+	w.healedAt = time.Now()
 	if random := rand.New(rand.NewPCG(w.settings.Seed, 1)); random.IntN(2) == 0 || w.settings.Overlap {
 		w.loseNewest(random)
 	}
