--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -26,6 +26,7 @@
 	"goldcreststack.example/goldcreststack/controller"
 	"goldcreststack.example/goldcreststack/dispatcher"
 	"goldcreststack.example/goldcreststack/drainer"
+	"goldcreststack.example/goldcreststack/linker"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/platform"
 	"goldcreststack.example/goldcreststack/pruner"
@@ -130,7 +131,7 @@
 	startTime     time.Time
 }
 
-func newProcess(node *platform.Node, report *reporter.Reporter) *process {
+func newProcess(node *platform.Node, report *reporter.Reporter, connect linker.Connect) *process {
 	setMemoryLimit(node)
 	p := &process{node: node, report: report, client: platform.NewClient(), clock: clocker.New(), startTime: time.Now()}
 	settings := relayer.Settings{
@@ -139,7 +140,8 @@
 		Ask: func(ctx context.Context, request *modeler.PermitRequest) modeler.PermitAnswer {
 			return p.client.RequestPermits(ctx, node.PolicyAddress, request)
 		},
-		Report: report,
+		Report:  report,
+		Connect: connect,
 	}
 	if node.ControlAddress != "" {
 		// Entry hosts lack the processor time and network for carrying orders.
@@ -192,7 +194,7 @@
 // RunEntry serves callers until ctx ends. It returns an error if an address can't
 // be opened or a server fails.
 func RunEntry(ctx context.Context, node *platform.Node, report *reporter.Reporter) error {
-	p := newProcess(node, report)
+	p := newProcess(node, report, nil)
 	report.Info("entry process starts", "address", node.CallerAddress, "seeds", node.Seeds)
 	return p.run(ctx, nil, map[string]http.Handler{
 		node.CallerAddress:    p.server.CallerHandler(),
@@ -202,8 +204,9 @@
 
 // ControlOptions are the options of a control process that its settings don't hold.
 type ControlOptions struct {
-	// Bind, if set, is the IP address at which links are accepted instead of the
-	// advertised one, for a host behind network address translation.
+	// Bind, if set, is the IP address at which links are accepted and from which they
+	// are opened instead of the advertised one, for a host behind network address
+	// translation.
 	Bind string
 	// Restore, if set, is the id of this member: it starts a new group alone from its
 	// data folder, after the quorum was lost for good.
@@ -214,12 +217,16 @@
 // error if the member can't be created or restored, an address can't be opened or
 // a server fails.
 func RunControl(ctx context.Context, node *platform.Node, report *reporter.Reporter, options ControlOptions) error {
-	p := newProcess(node, report)
+	var connect linker.Connect
+	if options.Bind != "" {
+		connect = linker.ConnectFrom(options.Bind)
+	}
+	p := newProcess(node, report, connect)
 	settings, err := p.controllerSettings()
 	if err != nil {
 		return err
 	}
-	settings.Restore = options.Restore
+	settings.Connect, settings.Restore = connect, options.Restore
 	if options.Bind != "" {
 		_, port, err := net.SplitHostPort(node.LinkAddress)
 		if err != nil {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -30,6 +30,9 @@
 	// Replace adds replacements of control hosts, lost disks, other seeds and a
 	// final fault.
 	Replace bool
+	// Overlap adds to the replacements partitions of the control hosts, disks lost
+	// during planned replacements and signals in series.
+	Overlap bool
 }
 
 const (
@@ -73,7 +76,9 @@
 	// users allow, counted from faultsBegan.
 	excessPeriods []period
 	faultsBegan   time.Time
-	faultsEnded   time.Time
+	// healedAt is the end of the temporary faults, and faultsEnded that of all faults.
+	healedAt    time.Time
+	faultsEnded time.Time
 
 	mu sync.Mutex
 	// control has the current control process of each slot, and started all control
@@ -85,6 +90,11 @@
 	diskLosses map[int]*diskLoss
 	// changing has the slots whose host is being changed.
 	changing map[int]bool
+	// divided is the partition of the control hosts, nil if there is none.
+	divided atomic.Pointer[partition]
+	// delayedAt is the time at which the machine has delayed a process last, and
+	// checkedAt the begin of the last check for that, in nanoseconds.
+	delayedAt, checkedAt atomic.Int64
 	// hostCount is the number of control hosts that have existed.
 	hostCount int
 	// faults lists the injected faults.
@@ -116,6 +126,7 @@
 	if err := w.startAll(); err != nil {
 		return Report{}, err
 	}
+	go w.watchDelays()
 	var callers sync.WaitGroup
 	running, end := context.WithCancel(ctx)
 	defer end()
@@ -155,10 +166,14 @@
 		random := rand.New(rand.NewPCG(w.changes.Uint64(), 0))
 		series.Go(func() { w.changeHosts(length, random) })
 	}
+	if w.settings.Overlap && w.tolerance > 0 {
+		series.Go(func() { w.overlapFaults(length, rand.New(rand.NewPCG(w.settings.Seed, 2))) })
+	}
 	w.injectFaults(length)
 	series.Wait()
 	w.healAll()
-	if random := rand.New(rand.NewPCG(w.settings.Seed, 1)); random.IntN(2) == 0 {
+	w.healedAt = time.Now()
+	if random := rand.New(rand.NewPCG(w.settings.Seed, 1)); random.IntN(2) == 0 || w.settings.Overlap {
 		w.loseNewest(random)
 	}
 	w.injectFinalFault(final)
