soaker: names say what they hold

Join also means joining the group, faults also the injected ones, and aimed, off, changes and calm didn't say at what, of what or of whom. The kinds of changes of hosts get names like the kinds of faults. Comments say what a slot is and which fields the lock protects.

--- a/soaker/allowance.go
+++ b/soaker/allowance.go
@@ -34,11 +34,11 @@
 }
 
 // diskLoss counts the hosts of one slot that were lost for good or have lost their
-// disk and aren't made good.
+// disk, and whose successor hasn't caught up.
 type diskLoss struct {
 	count int
-	// successor is the process that makes the losses good when it has caught up; nil
-	// before it is started.
+	// successor is the process that replaces them when it has caught up; nil before it
+	// is started.
 	successor *process
 }
 
@@ -69,9 +69,9 @@
 	return count
 }
 
-// settleLosses removes the disk losses that are made good: the successor has caught
-// up while no more hosts were lost than the users allow. The caller holds the lock.
-func (w *world) settleLosses() {
+// dropRecoveredLosses removes the disk losses whose successor has caught up while no
+// more hosts were lost than the users allow. The caller holds the lock.
+func (w *world) dropRecoveredLosses() {
 	for slot, loss := range w.diskLosses {
 		if loss.successor != nil && !loss.successor.isLost() && w.otherLosses(slot) < w.tolerance {
 			delete(w.diskLosses, slot)
@@ -83,7 +83,7 @@
 func (w *world) lossCount() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.settleLosses()
+	w.dropRecoveredLosses()
 	return w.otherLosses(-1)
 }
 
@@ -95,7 +95,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.settleLosses()
+	w.dropRecoveredLosses()
 	lost := w.otherLosses(slot) + 1
 	if loss := w.diskLosses[slot]; loss != nil {
 		lost = w.otherLosses(slot) + loss.count
@@ -111,7 +111,7 @@
 func (w *world) claimLoss(slot int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.settleLosses()
+	w.dropRecoveredLosses()
 	disks := 0
 	for _, loss := range w.diskLosses {
 		disks += loss.count
@@ -123,19 +123,19 @@
 	if disks >= w.tolerance || lost >= w.tolerance && !w.allowsExcess() {
 		return false
 	}
-	w.addLoss(slot)
+	w.addLossLocked(slot)
 	return true
 }
 
-// countLoss counts a host of the slot as lost for good or without its disk.
-func (w *world) countLoss(slot int) {
+// addLoss counts a host of the slot as lost for good or without its disk.
+func (w *world) addLoss(slot int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.addLoss(slot)
+	w.addLossLocked(slot)
 }
 
-// addLoss is countLoss for a caller that holds the lock.
-func (w *world) addLoss(slot int) {
+// addLossLocked is addLoss for a caller that holds the lock.
+func (w *world) addLossLocked(slot int) {
 	if w.diskLosses[slot] == nil {
 		w.diskLosses[slot] = &diskLoss{}
 	}
@@ -143,7 +143,7 @@
 	w.diskLosses[slot].successor = nil
 }
 
-// setSuccessor sets the process that makes the losses of a slot good.
+// setSuccessor sets the process that replaces the lost hosts of a slot.
 func (w *world) setSuccessor(slot int, p *process) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -152,11 +152,12 @@
 	}
 }
 
-// countsAsLost reports whether a disk loss of the slot isn't made good.
-func (w *world) countsAsLost(slot int) bool {
+// hasDiskLoss reports whether the slot has a disk loss whose successor hasn't caught
+// up.
+func (w *world) hasDiskLoss(slot int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.settleLosses()
+	w.dropRecoveredLosses()
 	return w.diskLosses[slot] != nil
 }
 
@@ -175,21 +176,21 @@
 // counted from the first fault.
 type period struct{ from, until time.Duration }
 
-// excessLength and calmLength bound the lengths of excess periods and of the times
+// excessLength bounds the lengths of excess periods, and excessPause is the mean time
 // between them.
 const (
 	excessLength = 4 * time.Second
-	calmLength   = 12 * time.Second
+	excessPause  = 12 * time.Second
 )
 
 // planExcess returns excess periods at random times.
 func (w *world) planExcess(length time.Duration) []period {
 	var periods []period
-	at := time.Duration(w.changes.Int64N(int64(calmLength)))
+	at := time.Duration(w.changeRandom.Int64N(int64(excessPause)))
 	for at < length {
-		end := at + time.Duration(w.changes.Int64N(int64(excessLength)))
+		end := at + time.Duration(w.changeRandom.Int64N(int64(excessLength)))
 		periods = append(periods, period{at, end})
-		at = end + calmLength/2 + time.Duration(w.changes.Int64N(int64(calmLength)))
+		at = end + excessPause/2 + time.Duration(w.changeRandom.Int64N(int64(excessPause)))
 	}
 	return periods
 }
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -48,9 +48,9 @@
 	// doneTasks holds the names of the tasks that some worker has completed.
 	doneTasks map[string]bool
 	starts    int
-	// faults lists the broken promises.
-	faults   []string
-	versions []acknowledgement
+	// violations lists the broken promises.
+	violations []string
+	versions   []acknowledgement
 	// acknowledged receives a value for each acknowledgement to a caller or to the
 	// operator, unless it holds one.
 	acknowledged chan struct{}
@@ -100,7 +100,7 @@
 
 // addViolation records a broken promise; the caller holds the lock.
 func (c *check) addViolation(format string, args ...any) {
-	c.faults = append(c.faults, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+	c.violations = append(c.violations, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
 // noteAccepted records that a job was accepted.
--- a/soaker/delay.go
+++ b/soaker/delay.go
@@ -13,8 +13,8 @@
 	// longestDelay is the longest wait for a processor that doesn't count as a loss of
 	// the host. Members hold elections after longer ones.
 	longestDelay = 400 * time.Millisecond
-	// calmLimit bounds the wait for a machine that goes on delaying processes.
-	calmLimit = 30 * time.Second
+	// maxBusyTime bounds the wait for a machine that goes on delaying processes.
+	maxBusyTime = 30 * time.Second
 )
 
 // watchDelays counts control hosts as lost whose processes wait long for a processor,
@@ -82,10 +82,10 @@
 	return longest
 }
 
-// isOver reports whether a time limit of the users has passed. Such limits hold for
-// hosts in touch, so they begin anew when the machine delays a process, for calmLimit
-// at most. A delay shows in the check that begins after it.
+// isOver reports whether a time limit of the users has passed. The limit begins anew
+// when the machine delays a process, for maxBusyTime at most. A delay is found by the
+// check that begins after it.
 func (w *world) isOver(begun time.Time, limit time.Duration) bool {
 	delayed, checked := time.Unix(0, w.delayedAt.Load()), time.Unix(0, w.checkedAt.Load())
-	return checked.After(later(begun, delayed).Add(limit)) || time.Since(begun) > limit+calmLimit
+	return checked.After(later(begun, delayed).Add(limit)) || time.Since(begun) > limit+maxBusyTime
 }
--- a/soaker/final.go
+++ b/soaker/final.go
@@ -3,8 +3,7 @@
 import "time"
 
 const (
-	// maxPowerOff bounds the time for which all hosts are without power, beyond the
-	// restart delay.
+	// maxPowerOff bounds the time for which hosts are without power, beyond restartAfter.
 	maxPowerOff = 2 * time.Second
 	// acknowledgementWait bounds the wait for the acknowledgement that the final
 	// fault follows.
@@ -22,9 +21,10 @@
 	// loseControl and loseEntries end all processes of a role at the same moment.
 	loseControl, loseEntries bool
 	// loseDisks makes as many control hosts as the users allow come back with an
-	// empty disk, among them the leader if aimed is set.
-	loseDisks, aimed bool
-	off              time.Duration
+	// empty disk, among them the leader if hitsLeader is set.
+	loseDisks, hitsLeader bool
+	// downTime is the time for which the hosts are without power, beyond restartAfter.
+	downTime time.Duration
 	// slots is the order in which hosts are chosen.
 	slots []int
 	torn  [][]byte
@@ -32,19 +32,19 @@
 
 // planFinalFault chooses the final fault by the random source.
 func (w *world) planFinalFault() finalFault {
-	kind := w.changes.IntN(8)
+	kind := w.changeRandom.IntN(8)
 	f := finalFault{
 		loseControl: kind == 1 || kind >= 4,
 		loseEntries: kind >= 6,
 		loseDisks:   kind >= 2,
-		aimed:       w.changes.IntN(2) == 0,
-		off:         time.Duration(w.changes.Int64N(int64(maxPowerOff))),
-		slots:       w.changes.Perm(w.settings.Control),
+		hitsLeader:  w.changeRandom.IntN(2) == 0,
+		downTime:    time.Duration(w.changeRandom.Int64N(int64(maxPowerOff))),
+		slots:       w.changeRandom.Perm(w.settings.Control),
 	}
 	for range w.settings.Control {
-		torn := make([]byte, w.changes.IntN(maxTorn))
+		torn := make([]byte, w.changeRandom.IntN(maxTorn))
 		for i := range torn {
-			torn[i] = byte(w.changes.IntN(256))
+			torn[i] = byte(w.changeRandom.IntN(256))
 		}
 		f.torn = append(f.torn, torn)
 	}
@@ -59,7 +59,7 @@
 		f.loseControl, f.loseDisks = true, false
 	}
 	hosts := w.controlHosts()
-	if leader := w.leaderSlot(w.newClient(time.Second)); f.aimed && leader >= 0 {
+	if leader := w.leaderSlot(w.newClient(time.Second)); f.hitsLeader && leader >= 0 {
 		f.slots = append([]int{leader}, f.slots...)
 	}
 	emptied := make(map[int]bool)
@@ -73,23 +73,23 @@
 		switch {
 		case emptied[slot]:
 			w.logFault("final fault: %s loses its power and its disk", p.name)
-			p.kill(f.off, func() { w.emptyDisk(p) })
+			p.kill(f.downTime, func() { w.emptyDisk(p) })
 		case f.loseControl:
 			w.logFault("final fault: %s loses its power", p.name)
-			p.kill(f.off, func() { w.tearLog(p, f.torn[slot]) })
+			p.kill(f.downTime, func() { w.tearLog(p, f.torn[slot]) })
 		}
 	}
 	if f.loseEntries {
 		w.logFault("final fault: all entry processes lose their power")
 		for _, p := range w.entries {
-			p.kill(f.off, nil)
+			p.kill(f.downTime, nil)
 		}
 	}
 	w.awaitRunning()
 }
 
 // awaitCaughtUp waits until no host counts as lost. It reports false if the machine
-// goes on delaying processes for calmLimit, counted from the end of the temporary
+// goes on delaying processes for maxBusyTime, counted from the end of the temporary
 // faults: then no further loss is allowed.
 func (w *world) awaitCaughtUp() bool {
 	for begun := time.Now(); w.ctx.Err() == nil && w.lossCount() > 0; w.sleep(allowanceInterval) {
@@ -98,7 +98,7 @@
 		case time.Since(later(begun, delayed)) > caughtUpLimit:
 			w.check.recordViolation("control processes ended by themselves in the %v after the last fault", caughtUpLimit)
 			return true
-		case time.Since(w.healedAt) > calmLimit && time.Since(delayed) < 2*catchUp:
+		case time.Since(w.healedAt) > maxBusyTime && time.Since(delayed) < 2*catchUp:
 			w.logFault("the machine is too slow for a further loss")
 			return false
 		}
--- a/soaker/lagging.go
+++ b/soaker/lagging.go
@@ -11,18 +11,18 @@
 const (
 	// lagTime is the least time for which hosts are cut off until they lag behind.
 	lagTime = 500 * time.Millisecond
-	// laggingAlone is the time for which the hosts that don't lag behind are paused: long
+	// pauseLength is the time for which the hosts that don't lag behind are paused: long
 	// enough for the others to hold several elections.
-	laggingAlone = 3 * time.Second
+	pauseLength = 3 * time.Second
 )
 
-// loseNewest leaves the newest entries to paused hosts only: it cuts a minority of
-// the control hosts off, waits for an acknowledgement, then heals the links, empties
-// the disk of one of the other hosts and pauses the rest of them for a while. No
+// isolateNewestEntries leaves the newest entries on paused hosts only. It cuts a
+// minority of the control hosts off and waits for an acknowledgement. Then it heals the
+// links, empties the disk of one of the other hosts and pauses the rest of them. No
 // leader may be elected meanwhile, since the host without a disk has forgotten its
-// votes and entries. Voters are cut off rather than learners: those that are cut off
-// may be most of the voters, and then nothing may be acknowledged.
-func (w *world) loseNewest(random *rand.Rand) {
+// votes and entries. Voters are cut off rather than learners, since nothing may be
+// acknowledged if most voters are cut off.
+func (w *world) isolateNewestEntries(random *rand.Rand) {
 	if w.tolerance == 0 || !w.awaitCaughtUp() {
 		return
 	}
@@ -48,26 +48,26 @@
 	w.sleep(lagTime)
 	w.check.awaitAcknowledgement(acknowledgementWait)
 	for _, slot := range paused {
-		w.logFault("pause %s for %v", hosts[slot].name, laggingAlone)
-		hosts[slot].loseFor(laggingAlone)
+		w.logFault("pause %s for %v", hosts[slot].name, pauseLength)
+		hosts[slot].loseFor(pauseLength)
 		hosts[slot].signal(syscall.SIGSTOP)
 	}
 	w.logFault("kill %s and empty its disk", hosts[emptied].name)
-	w.countLoss(emptied)
+	w.addLoss(emptied)
 	hosts[emptied].kill(0, func() { w.emptyDisk(hosts[emptied]) })
 	w.setSuccessor(emptied, hosts[emptied])
-	w.join()
+	w.endPartition()
 	for _, slot := range lagging {
 		hosts[slot].link.heal()
 	}
-	w.sleep(laggingAlone)
+	w.sleep(pauseLength)
 	for _, slot := range paused {
 		hosts[slot].signal(syscall.SIGCONT)
 	}
 }
 
-// ranks returns higher numbers for hosts that rather aren't cut off: those that the
-// leader shows as learners and, if there are any, the leader itself.
+// ranks returns 2 for learners, 1 for the leader if there are learners, and 0 for the
+// others. Hosts of the lowest ranks are cut off first.
 func (w *world) ranks(hosts []*process) map[*process]int {
 	ranks := make(map[*process]int)
 	client := w.newClient(time.Second)
--- a/soaker/overlapping.go
+++ b/soaker/overlapping.go
@@ -41,7 +41,7 @@
 // first.
 func (w *world) chooseSlots(leader int, random *rand.Rand) []int {
 	slots := random.Perm(w.settings.Control)
-	if aimed := random.IntN(2) == 0; aimed && leader >= 0 {
+	if hitsLeader := random.IntN(2) == 0; hitsLeader && leader >= 0 {
 		i := slices.Index(slots, leader)
 		slots[0], slots[i] = slots[i], slots[0]
 	}
@@ -66,7 +66,7 @@
 	}
 	w.separate(minority)
 	w.sleep(span)
-	w.join()
+	w.endPartition()
 }
 
 // signalInSeries sends a series of signals to an entry process or to the control
--- a/soaker/partition.go
+++ b/soaker/partition.go
@@ -11,12 +11,12 @@
 type partition struct{ minority map[*process]bool }
 
 // claimPartition reports whether the hosts of the slots may be separated from the
-// others, and counts them as lost for the given time if so. The users allow a
-// partition of calm hosts whatever its sides are.
+// others, and counts them as lost for the given time if so. While no host counts as
+// lost, the users allow any partition.
 func (w *world) claimPartition(slots []int, span time.Duration) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.settleLosses()
+	w.dropRecoveredLosses()
 	lost := w.otherLosses(-1)
 	if lost > 0 && lost+len(slots) > w.tolerance && !w.allowsExcess() {
 		return false
@@ -27,24 +27,24 @@
 	return true
 }
 
-// separate separates the processes from the other control processes until join is
-// called.
+// separate separates the processes from the other control processes until
+// endPartition is called.
 func (w *world) separate(minority []*process) {
-	divided := &partition{minority: make(map[*process]bool)}
+	current := &partition{minority: make(map[*process]bool)}
 	for _, p := range minority {
-		divided.minority[p] = true
+		current.minority[p] = true
 	}
-	w.divided.Store(divided)
+	w.partition.Store(current)
 	for _, p := range w.startedControl() {
 		p.link.separate()
 	}
 }
 
-// join ends the partition.
-func (w *world) join() {
-	w.divided.Store(nil)
+// endPartition ends the partition.
+func (w *world) endPartition() {
+	w.partition.Store(nil)
 	for _, p := range w.startedControl() {
-		p.link.join()
+		p.link.resetSeparated()
 	}
 }
 
@@ -58,12 +58,12 @@
 // isSeparated reports whether the partition separates the process from the one that
 // has opened a connection to it.
 func (w *world) isSeparated(p *process, client net.Conn) bool {
-	divided := w.divided.Load()
-	if divided == nil {
+	current := w.partition.Load()
+	if current == nil {
 		return false
 	}
 	from := client.RemoteAddr().(*net.TCPAddr).IP.String()
 	return slices.ContainsFunc(w.startedControl(), func(other *process) bool {
-		return other.bind == from && divided.minority[other] != divided.minority[p]
+		return other.bind == from && current.minority[other] != current.minority[p]
 	})
 }
--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -198,8 +198,8 @@
 	})
 }
 
-// join resets the connections that a partition has silenced.
-func (p *proxy) join() {
+// resetSeparated resets the connections that a partition has silenced.
+func (p *proxy) resetSeparated() {
 	p.eachConn(func(c *pipe) {
 		if c.separated.Load() {
 			delete(p.conns, c)
--- a/soaker/replacing.go
+++ b/soaker/replacing.go
@@ -25,6 +25,18 @@
 	allowanceInterval = 50 * time.Millisecond
 )
 
+// The kinds of changes. The unnamed ones below changeKinds kill and replace a host,
+// which is thus chosen most often.
+const (
+	changeSeeds = iota
+	restartEntries
+	replacePlanned
+	replaceDuringLoss
+	wipe
+	replaceKilledAndWipe
+	changeKinds = 9
+)
+
 // changeHosts replaces control hosts, empties disks, changes seeds and restarts entry
 // processes, one after the other for the given time. A series for each host that may
 // be lost at the same time runs in a goroutine of its own.
@@ -39,19 +51,19 @@
 
 // changeHost makes one change of hosts, chosen by the random source.
 func (w *world) changeHost(client *http.Client, random *rand.Rand, end time.Time) {
-	kind, slot := random.IntN(9), random.IntN(w.settings.Control)
-	aimed, vanishes := random.IntN(2) == 0, random.IntN(2) == 0
+	kind, slot := random.IntN(changeKinds), random.IntN(w.settings.Control)
+	hitsLeader, vanishes := random.IntN(2) == 0, random.IntN(2) == 0
 	gap := minGap + time.Duration(random.Int64N(int64(maxGap-minGap)))
 	overlap := time.Duration(random.Int64N(int64(maxOverlap)))
 	switch kind {
-	case 0:
+	case changeSeeds:
 		w.changeSeeds(random)
 		return
-	case 1:
+	case restartEntries:
 		w.restartEntries(random)
 		return
 	}
-	if leader := w.leaderSlot(client); aimed && leader >= 0 {
+	if leader := w.leaderSlot(client); hitsLeader && leader >= 0 {
 		slot = leader
 	}
 	if !w.reserveSlot(slot) {
@@ -59,15 +71,15 @@
 	}
 	defer w.releaseSlot(slot)
 	switch kind {
-	case 2, 3:
-		if kind == 3 && w.settings.Overlap {
+	case replacePlanned, replaceDuringLoss:
+		if kind == replaceDuringLoss && w.settings.Overlap {
 			w.replaceDuringLoss(slot, end)
 			return
 		}
 		w.replacePlanned(slot, overlap, end)
-	case 4:
+	case wipe:
 		w.wipe(slot, end)
-	case 5:
+	case replaceKilledAndWipe:
 		if w.replaceKilled(slot, gap, vanishes, end) {
 			w.sleep(overlap / 2)
 			w.wipe(slot, end)
@@ -153,7 +165,7 @@
 	if successor == nil {
 		return
 	}
-	for w.countsAsLost(slot) && w.ctx.Err() == nil {
+	for w.hasDiskLoss(slot) && w.ctx.Err() == nil {
 		w.sleep(allowanceInterval)
 	}
 	if other := (slot + 1) % w.settings.Control; w.reserveSlot(other) {
@@ -182,7 +194,7 @@
 
 // stopFormer stops the slot's host in order for good, as soon as that is allowed.
 func (w *world) stopFormer(slot int, successor *process) {
-	if !w.countsAsLost(slot) && !w.awaitAllowance(slot, time.Time{}) {
+	if !w.hasDiskLoss(slot) && !w.awaitAllowance(slot, time.Time{}) {
 		return
 	}
 	former := w.controlHosts()[slot]
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -55,16 +55,16 @@
 // world is the state of one soak run.
 type world struct {
 	settings Settings
-	// random chooses the temporary faults, and changes the series of changes and the
+	// random chooses the temporary faults, and changeRandom the series of changes and the
 	// final fault.
-	random  *rand.Rand
-	changes *rand.Rand
-	ctx     context.Context
-	check   *check
-	network *network
-	port    int
-	entries []*process
-	workers []*worker
+	random       *rand.Rand
+	changeRandom *rand.Rand
+	ctx          context.Context
+	check        *check
+	network      *network
+	port         int
+	entries      []*process
+	workers      []*worker
 	// policy is the address of the stand-in policy.
 	policy string
 	// bootstrap is set until startupTime is over; processes that are started
@@ -79,22 +79,24 @@
 	// healedAt is the end of the temporary faults, and faultsEnded that of all faults.
 	healedAt    time.Time
 	faultsEnded time.Time
+	// partition is the partition of the control hosts, nil if there is none.
+	partition atomic.Pointer[partition]
+	// delayedAt is when the last delay of a process by the machine was found, and
+	// checkedAt when the last check for delays began, in nanoseconds.
+	delayedAt, checkedAt atomic.Int64
 
+	// mu protects the fields below.
 	mu sync.Mutex
 	// control has the current control process of each slot, and started all control
-	// processes so far.
+	// processes so far. A slot is the place of one control host; a successor takes it
+	// over.
 	control  []*process
 	started  []*process
 	listings []listing
-	// diskLosses has the slots with losses of hosts or disks that aren't made good.
+	// diskLosses has the slots whose lost hosts or disks no successor has replaced yet.
 	diskLosses map[int]*diskLoss
 	// changing has the slots whose host is being changed.
 	changing map[int]bool
-	// divided is the partition of the control hosts, nil if there is none.
-	divided atomic.Pointer[partition]
-	// delayedAt is the time at which the machine has delayed a process last, and
-	// checkedAt the begin of the last check for that, in nanoseconds.
-	delayedAt, checkedAt atomic.Int64
 	// hostCount is the number of control hosts that have existed.
 	hostCount int
 	// faults lists the injected faults.
@@ -107,14 +109,14 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	w := &world{
-		settings:   settings,
-		random:     rand.New(rand.NewPCG(settings.Seed, settings.Seed)),
-		changes:    rand.New(rand.NewPCG(settings.Seed, 0)),
-		ctx:        ctx,
-		check:      newCheck(),
-		tolerance:  lossTolerance(settings.Control),
-		changing:   make(map[int]bool),
-		diskLosses: make(map[int]*diskLoss),
+		settings:     settings,
+		random:       rand.New(rand.NewPCG(settings.Seed, settings.Seed)),
+		changeRandom: rand.New(rand.NewPCG(settings.Seed, 0)),
+		ctx:          ctx,
+		check:        newCheck(),
+		tolerance:    lossTolerance(settings.Control),
+		changing:     make(map[int]bool),
+		diskLosses:   make(map[int]*diskLoss),
 	}
 	w.bootstrap.Store(true)
 	var err error
@@ -146,7 +148,7 @@
 	}
 	w.check.mu.Lock()
 	defer w.check.mu.Unlock()
-	return Report{Jobs: len(w.check.jobs), Starts: w.check.starts, Faults: w.faults, Violations: w.check.faults}, nil
+	return Report{Jobs: len(w.check.jobs), Starts: w.check.starts, Faults: w.faults, Violations: w.check.violations}, nil
 }
 
 // injectAllFaults injects temporary faults for the given time and, if the settings
@@ -163,7 +165,7 @@
 	final := w.planFinalFault()
 	var series sync.WaitGroup
 	for range max(w.tolerance, 1) {
-		random := rand.New(rand.NewPCG(w.changes.Uint64(), 0))
+		random := rand.New(rand.NewPCG(w.changeRandom.Uint64(), 0))
 		series.Go(func() { w.changeHosts(length, random) })
 	}
 	if w.settings.Overlap && w.tolerance > 0 {
@@ -174,7 +176,7 @@
 	w.healAll()
 	w.healedAt = time.Now()
 	if random := rand.New(rand.NewPCG(w.settings.Seed, 1)); random.IntN(2) == 0 || w.settings.Overlap {
-		w.loseNewest(random)
+		w.isolateNewestEntries(random)
 	}
 	w.injectFinalFault(final)
 }
