controller: the limit of repeated lines has a file of its own

quorum.go held it beside the losses that the group bears, and the line about a refused change, which belongs to the changes in joining.go. The maps of limits say that they hold limits, and a laggard is a lagging learner.

--- a/controller/core.go
+++ b/controller/core.go
@@ -91,8 +91,8 @@
 	// lostElections is the number of lost elections that have been reported.
 	lostElections     uint64
 	lostElectionLimit repeatLimit
-	// refusals limits the lines about refused changes, for each member.
-	refusals map[modeler.MemberID]*repeatLimit
+	// refusalLimits limits the lines about refused changes, for each member.
+	refusalLimits map[modeler.MemberID]*repeatLimit
 	// lastRefusal says why the newest change of members was refused; empty after
 	// an accepted one.
 	lastRefusal string
@@ -106,7 +106,7 @@
 		pendingProposals: make(map[modeler.Index]proposal),
 		entryLinks:       make(map[modeler.EntrySession]*linker.Link),
 		entrySessions:    make(map[*linker.Link]modeler.EntrySession),
-		refusals:         make(map[modeler.MemberID]*repeatLimit),
+		refusalLimits:    make(map[modeler.MemberID]*repeatLimit),
 		snapshot:         saved.Snapshot.Index,
 		appliedTerm:      saved.Snapshot.Term,
 	}
@@ -472,7 +472,7 @@
 	c.controller.settings.OnLeadership(true)
 	c.leader = newLeadership(c, now, term)
 	c.lastRefusal = ""
-	clear(c.refusals)
+	clear(c.refusalLimits)
 	c.slotAllocator.Lead(now, term, c.state.Records().Sessions())
 	c.slotAllocator.SetLeaseEnd(c.log.LeaseEnd(now))
 	c.leader.broadcastConfiguration(now)
--- a/controller/joining.go
+++ b/controller/joining.go
@@ -1,7 +1,10 @@
 package controller
 
 import (
+	"fmt"
 	"slices"
+	"strings"
+	"unicode"
 
 	"goldcreststack.example/goldcreststack/classifier"
 	"goldcreststack.example/goldcreststack/modeler"
@@ -9,6 +12,11 @@
 	"goldcreststack.example/goldcreststack/replicator"
 )
 
+// maxRefusalLimits bounds the members for which lines about refused changes are
+// limited.
+const maxRefusalLimits = 64
+
+// changeEvents has the message of the line about each kind of change.
 var changeEvents = map[reconfigurer.Kind]string{
 	reconfigurer.Add: "member added", reconfigurer.Promote: "member votes", reconfigurer.Remove: "member removed", reconfigurer.Move: "member moved",
 }
@@ -46,8 +54,9 @@
 	return modeler.Reply{}
 }
 
-// leavingMembers returns the members that are about to stop. After ReplaceAfter,
-// their silence tells whether they have come back.
+// leavingMembers returns the members that are about to stop, and forgets those that
+// have announced it more than ReplaceAfter ago: from then on their silence tells
+// whether they have come back.
 func (l *leadership) leavingMembers(now modeler.ClockReading) []modeler.MemberID {
 	var leaving []modeler.MemberID
 	for id, since := range l.leaving {
@@ -83,3 +92,39 @@
 	c.reportChange(now, changeEvents[change.Kind], changed, err, "reason", change.Reason, "members", len(change.Members.Members))
 	return err
 }
+
+// reportChange logs a change of members that the replicator has accepted. It
+// also logs one that it has refused, unless the last line about the member told
+// the same less than repeatInterval ago.
+func (c *core) reportChange(now modeler.ClockReading, event string, m modeler.Member, err error, pairs ...any) {
+	pairs = append([]any{"member", m.ID, "address", m.Address}, pairs...)
+	if err == nil {
+		c.lastRefusal = ""
+		delete(c.refusalLimits, m.ID)
+		c.controller.settings.Report.Info(event, append(pairs, "voters", c.voterCount())...)
+		return
+	}
+	detail := classifier.DetailOf(err)
+	c.lastRefusal = fmt.Sprintf("%s: %d at %s: %s", event, m.ID, m.Address, detail)
+	if len(c.refusalLimits) >= maxRefusalLimits {
+		clear(c.refusalLimits)
+	}
+	limit := c.refusalLimits[m.ID]
+	if limit == nil {
+		limit = &repeatLimit{}
+		c.refusalLimits[m.ID] = limit
+	}
+	// Numbers such as the entry that a learner has reached differ each time.
+	content := event + strings.Map(dropDigit, detail)
+	if ok, skipped := limit.allow(now, content); ok {
+		c.controller.settings.Report.Info("change of members refused", append(pairs, "change", event, "error", detail, "skipped", skipped)...)
+	}
+}
+
+// dropDigit is a mapping for strings.Map.
+func dropDigit(r rune) rune {
+	if unicode.IsDigit(r) {
+		return -1
+	}
+	return r
+}
--- a/controller/leadership.go
+++ b/controller/leadership.go
@@ -47,8 +47,8 @@
 	leaving map[modeler.MemberID]modeler.ClockReading
 	// silentMembers has the members whose silence is logged.
 	silentMembers map[modeler.MemberID]bool
-	// laggards has the learners that answer and have not caught up.
-	laggards map[modeler.MemberID]*laggard
+	// laggingLearners has the learners that answer and have not caught up.
+	laggingLearners map[modeler.MemberID]*laggingLearner
 }
 
 // workerView is what the status reports about a worker.
@@ -72,9 +72,9 @@
 
 		replacements: newReplacements(),
 
-		leaving:       make(map[modeler.MemberID]modeler.ClockReading),
-		silentMembers: make(map[modeler.MemberID]bool),
-		laggards:      make(map[modeler.MemberID]*laggard),
+		leaving:         make(map[modeler.MemberID]modeler.ClockReading),
+		silentMembers:   make(map[modeler.MemberID]bool),
+		laggingLearners: make(map[modeler.MemberID]*laggingLearner),
 	}
 	for _, team := range c.state.Cell().Teams {
 		l.cell.SetTeam(now, team)
--- a/controller/links.go
+++ b/controller/links.go
@@ -61,8 +61,9 @@
 	c.post(ctx, entryLinkDown{link: l})
 }
 
-// maxUnsent bounds the members without a known address that are remembered.
-const maxUnsent = 64
+// maxUnsentLimits bounds the members without a known address for which lines are
+// limited.
+const maxUnsentLimits = 64
 
 // peerLinks keeps one outgoing link to every other member.
 type peerLinks struct {
@@ -84,23 +85,23 @@
 	// redials has a channel for each address that ends the wait before its next
 	// dial.
 	redials map[string]chan struct{}
-	// unsent limits the lines about messages to members without a known address;
+	// unsentLimits limits the lines about messages to members without a known address;
 	// only the core goroutine uses it.
-	unsent map[modeler.MemberID]*repeatLimit
+	unsentLimits map[modeler.MemberID]*repeatLimit
 }
 
 func newPeerLinks(self modeler.MemberID, seeds []modeler.Member, report *reporter.Reporter, serve func(context.Context, *linker.Link)) *peerLinks {
 	return &peerLinks{
-		self:     self,
-		report:   report,
-		dropped:  report.Counter("member_messages_dropped_total"),
-		seeds:    seeds,
-		changed:  make(chan struct{}, 1),
-		serve:    serve,
-		links:    make(map[string]*linker.Link),
-		accepted: make(map[modeler.MemberID]*linker.Link),
-		redials:  make(map[string]chan struct{}),
-		unsent:   make(map[modeler.MemberID]*repeatLimit),
+		self:         self,
+		report:       report,
+		dropped:      report.Counter("member_messages_dropped_total"),
+		seeds:        seeds,
+		changed:      make(chan struct{}, 1),
+		serve:        serve,
+		links:        make(map[string]*linker.Link),
+		accepted:     make(map[modeler.MemberID]*linker.Link),
+		redials:      make(map[string]chan struct{}),
+		unsentLimits: make(map[modeler.MemberID]*repeatLimit),
 	}
 }
 
@@ -193,13 +194,13 @@
 // log of this member, or its settings before it has one, does not hold it, and it
 // has opened no link.
 func (p *peerLinks) reportUnsent(now modeler.ClockReading, m *modeler.PeerMessage) {
-	limit := p.unsent[m.To]
+	limit := p.unsentLimits[m.To]
 	if limit == nil {
-		if len(p.unsent) >= maxUnsent {
-			clear(p.unsent)
+		if len(p.unsentLimits) >= maxUnsentLimits {
+			clear(p.unsentLimits)
 		}
 		limit = &repeatLimit{}
-		p.unsent[m.To] = limit
+		p.unsentLimits[m.To] = limit
 	}
 	if ok, skipped := limit.allow(now, m.Kind.String()); ok {
 		p.report.Info("member has no known address", "member", m.To, "kind", m.Kind.String(), "term", m.Term, "skipped", skipped)
--- a/controller/quorum.go
+++ b/controller/quorum.go
@@ -3,45 +3,16 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 	"time"
-	"unicode"
 
-	"goldcreststack.example/goldcreststack/classifier"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/reconfigurer"
 	"goldcreststack.example/goldcreststack/replicator"
 )
 
-const (
-	// silentAfter is how long a member leaves the leader without an answer before
-	// it counts as silent: ten heartbeats.
-	silentAfter = time.Second
-	// repeatInterval is the least time between two lines that tell the same about
-	// members, elections or messages.
-	repeatInterval = 5 * time.Second
-)
-
-// repeatLimit decides whether a line that may be due many times a second is
-// written: when its content has changed, or repeatInterval after the last one.
-type repeatLimit struct {
-	content  string
-	loggedAt modeler.ClockReading
-	// skipped counts the lines left out since the last one.
-	skipped int
-}
-
-// allow reports whether the line is written, and how many were left out since
-// the last one.
-func (l *repeatLimit) allow(now modeler.ClockReading, content string) (bool, int) {
-	if content == l.content && now.Sub(l.loggedAt) < repeatInterval {
-		l.skipped++
-		return false, 0
-	}
-	skipped := l.skipped
-	*l = repeatLimit{content: content, loggedAt: now}
-	return true, skipped
-}
+// silentAfter is how long a member leaves the leader without an answer before it
+// counts as silent: ten heartbeats.
+const silentAfter = time.Second
 
 // reportLostElection logs an election that this member has not won, with the
 // voters that have granted it, refused it and not answered.
@@ -101,8 +72,8 @@
 	}
 }
 
-// laggard is a learner that has not caught up.
-type laggard struct {
+// laggingLearner is a learner that has not caught up.
+type laggingLearner struct {
 	since modeler.ClockReading
 	limit repeatLimit
 }
@@ -112,15 +83,15 @@
 // proposed for it, so none is refused.
 func (l *leadership) watchLearners(now modeler.ClockReading) {
 	status := l.core.log.Status()
-	lagging := make(map[modeler.MemberID]*laggard)
+	lagging := make(map[modeler.MemberID]*laggingLearner)
 	for i := range status.Progress {
 		p := &status.Progress[i]
 		if !p.Member.Learner || p.CaughtUp || silence(now, p) > 0 {
 			continue
 		}
-		found := l.laggards[p.Member.ID]
+		found := l.laggingLearners[p.Member.ID]
 		if found == nil {
-			found = &laggard{since: now, limit: repeatLimit{loggedAt: now}}
+			found = &laggingLearner{since: now, limit: repeatLimit{loggedAt: now}}
 		}
 		lagging[p.Member.ID] = found
 		if ok, _ := found.limit.allow(now, ""); ok {
@@ -128,7 +99,7 @@
 				"match", p.Match, "last", status.Last, "since", now.Sub(found.since).String())
 		}
 	}
-	l.laggards = lagging
+	l.laggingLearners = lagging
 }
 
 // quorumStatus returns how many losses the group bears, as this leader knows it.
@@ -151,44 +122,6 @@
 	return q
 }
 
-// reportChange logs a change of members that the replicator has accepted. It
-// also logs one that it has refused, unless the last line about the member told
-// the same less than repeatInterval ago.
-func (c *core) reportChange(now modeler.ClockReading, event string, m modeler.Member, err error, pairs ...any) {
-	pairs = append([]any{"member", m.ID, "address", m.Address}, pairs...)
-	if err == nil {
-		c.lastRefusal = ""
-		delete(c.refusals, m.ID)
-		c.controller.settings.Report.Info(event, append(pairs, "voters", c.voterCount())...)
-		return
-	}
-	detail := classifier.DetailOf(err)
-	c.lastRefusal = fmt.Sprintf("%s: %d at %s: %s", event, m.ID, m.Address, detail)
-	if len(c.refusals) >= maxRefusals {
-		clear(c.refusals)
-	}
-	limit := c.refusals[m.ID]
-	if limit == nil {
-		limit = &repeatLimit{}
-		c.refusals[m.ID] = limit
-	}
-	// Numbers such as the entry that a learner has reached differ each time.
-	content := event + strings.Map(dropDigit, detail)
-	if ok, skipped := limit.allow(now, content); ok {
-		c.controller.settings.Report.Info("change of members refused", append(pairs, "change", event, "error", detail, "skipped", skipped)...)
-	}
-}
-
-// maxRefusals bounds the members whose refused changes are remembered.
-const maxRefusals = 64
-
-func dropDigit(r rune) rune {
-	if unicode.IsDigit(r) {
-		return -1
-	}
-	return r
-}
-
 // voterCount returns the number of voters in the newest membership.
 func (c *core) voterCount() int {
 	count := 0
