--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -316,8 +316,8 @@
 
 // run serves the handlers until ctx ends. It then stops in this order: readiness
 // fails, an entry process waits drainDelay, a control process leaves the group,
-// the controller stops, the servers finish their requests, the links close. If a server or the controller fails, it
-// returns the error without waiting for requests.
+// the controller stops, the servers finish their requests, the links close. If a
+// server or the controller fails, it returns the error without waiting for requests.
 func (p *process) run(ctx context.Context, c *controller.Controller, handlers map[string]http.Handler) error {
 	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
@@ -383,22 +383,7 @@
 			p.leaveGroup(serveCtx, c)
 		}
 		stopMember()
-		shutdownCtx, cancel := context.WithTimeout(serveCtx, shutdownTimeout)
-		defer cancel()
-		// Leaves the other half of the time to requests that are being served.
-		readCtx, stopReading := context.WithTimeout(shutdownCtx, shutdownTimeout/2)
-		defer stopReading()
-		var stops sync.WaitGroup
-		for i, server := range servers {
-			listener := listeners[i]
-			stops.Go(func() {
-				listener.WaitUntilRead(readCtx)
-				if err := server.Shutdown(shutdownCtx); err != nil {
-					p.report.Warn("requests were cut off", "error", err)
-				}
-			})
-		}
-		stops.Wait()
+		p.stopServers(serveCtx, servers, listeners)
 		stopServing()
 		return nil
 	})
@@ -410,6 +395,27 @@
 	return err
 }
 
+// stopServers stops the servers, each with its listener, when they have served the
+// requests that have arrived, and after shutdownTimeout at the latest.
+func (p *process) stopServers(ctx context.Context, servers []*http.Server, listeners []*drainer.Listener) {
+	shutdownCtx, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	defer cancel()
+	// Leaves the other half of the time to requests that are being served.
+	readCtx, stopReading := context.WithTimeout(shutdownCtx, shutdownTimeout/2)
+	defer stopReading()
+	var stops sync.WaitGroup
+	for i, server := range servers {
+		listener := listeners[i]
+		stops.Go(func() {
+			listener.WaitUntilRead(readCtx)
+			if err := server.Shutdown(shutdownCtx); err != nil {
+				p.report.Warn("requests were cut off", "error", err)
+			}
+		})
+	}
+	stops.Wait()
+}
+
 // joinGroup asks to be admitted to the group as long as the process is not a
 // member.
 func (p *process) joinGroup(ctx context.Context, c *controller.Controller) error {
@@ -441,10 +447,9 @@
 	}
 }
 
-// leaveGroup hands the leadership over and tells the leader that the process
-// stops, so that a waiting learner takes its place, and waits until that is done.
-// It isn't known whether the process is replaced or comes back; without a learner
-// its place is kept.
+// leaveGroup hands the leadership over, tells the leader that the process stops, and
+// waits until a learner has taken its place, up to leaveTimeout. Without a learner the process keeps its
+// vote, since it may only restart.
 func (p *process) leaveGroup(ctx context.Context, c *controller.Controller) {
 	if !c.CanBeReplaced() {
 		return
