--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -419,25 +419,14 @@
 // joinGroup asks to be admitted to the group as long as the process is not a
 // member.
 func (p *process) joinGroup(ctx context.Context, c *controller.Controller) error {
-	// The process asks several times a second until it belongs to the group, so
-	// the same answer is logged once every joinReportInterval.
-	var begun, logged time.Time
-	lastAnswer, requests := "", 0
+	answers := admissionLog{report: p.report, member: c.Member()}
 	for {
 		if c.Joined() {
-			lastAnswer, requests = "", 0
+			answers.reset()
 		} else {
 			m := modeler.Member{ID: c.Member(), Address: p.node.LinkAddress}
 			_, err := p.relay.Call(ctx, &modeler.Call{Kind: modeler.JoinCall, Member: &m})
-			now, answer := time.Now(), classifier.KindOf(err).String()
-			if requests == 0 {
-				begun = now
-			}
-			requests++
-			if answer != lastAnswer || now.Sub(logged) >= joinReportInterval {
-				lastAnswer, logged = answer, now
-				p.report.Info("admission asked", "member", m.ID, "answer", answer, "requests", requests, "since", now.Sub(begun).String())
-			}
+			answers.add(classifier.KindOf(err).String())
 		}
 		select {
 		case <-time.After(joinInterval):
@@ -447,6 +436,34 @@
 	}
 }
 
+// admissionLog logs the answers to requests to join, of which there are several a
+// second: the same answer once every joinReportInterval.
+type admissionLog struct {
+	report   *reporter.Reporter
+	member   modeler.MemberID
+	requests int
+	begun    time.Time
+	// lastAnswer is the answer that was logged last, at loggedAt.
+	lastAnswer string
+	loggedAt   time.Time
+}
+
+// add adds the answer to a request.
+func (l *admissionLog) add(answer string) {
+	now := time.Now()
+	if l.requests == 0 {
+		l.begun = now
+	}
+	l.requests++
+	if answer != l.lastAnswer || now.Sub(l.loggedAt) >= joinReportInterval {
+		l.lastAnswer, l.loggedAt = answer, now
+		l.report.Info("admission asked", "member", l.member, "answer", answer, "requests", l.requests, "since", now.Sub(l.begun).String())
+	}
+}
+
+// reset begins a new series of requests.
+func (l *admissionLog) reset() { l.lastAnswer, l.requests = "", 0 }
+
 // leaveGroup hands the leadership over, tells the leader that the process stops, and
 // waits until a learner has taken its place, up to leaveTimeout. Without a learner the process keeps its
 // vote, since it may only restart.
