--- a/follower/client.go
+++ b/follower/client.go
@@ -22,10 +22,10 @@
 	hellos       map[*linker.Link]modeler.Hello
 	// leaderChanged is closed when another leader is reached.
 	leaderChanged chan struct{}
-	// fixed and seeds are the addresses given by KeepLinks and SetSeeds, and keepers
-	// has a function for each address with a keeper that ends it.
+	// fixed and seeds are the addresses given by KeepLinks and SetSeeds.
 	fixed, seeds []string
-	keepers      map[string]context.CancelFunc
+	// stopKeeper has the function that ends the keeper of each address.
+	stopKeeper map[string]context.CancelFunc
 }
 
 // Hooks are functions that the client calls on the goroutines of its links;
@@ -54,7 +54,7 @@
 		hooks:        hooks,
 		pendingCalls: make(map[modeler.Sequence]*pendingCall),
 		hellos:       make(map[*linker.Link]modeler.Hello),
-		keepers:      make(map[string]context.CancelFunc),
+		stopKeeper:   make(map[string]context.CancelFunc),
 
 		leaderChanged: make(chan struct{}),
 	}
@@ -93,38 +93,39 @@
 		}
 	}
 	for _, address := range wanted {
-		if c.keepers[address] == nil {
-			c.keepers[address] = c.startKeeper(ctx, address)
+		if c.stopKeeper[address] == nil {
+			c.stopKeeper[address] = c.startKeeper(ctx, address)
 		}
 	}
 	if leader == nil {
 		return
 	}
-	for address, stop := range c.keepers {
+	for address, stop := range c.stopKeeper {
 		if !slices.Contains(wanted, address) {
 			stop()
-			delete(c.keepers, address)
+			delete(c.stopKeeper, address)
 		}
 	}
 }
 
 func (c *Client) startKeeper(ctx context.Context, address string) context.CancelFunc {
-	keeping, stop := context.WithCancel(ctx)
+	keeperCtx, stop := context.WithCancel(ctx)
 	keeper := linker.Keeper{
 		Address: address,
 		Connect: c.hooks.Connect,
 		Hello:   func() modeler.Hello { return c.hello },
-		OnLink: func(linked context.Context, l *linker.Link) {
-			// A keeper that another one has started must outlive it.
-			c.serveLink(ctx, linked, l)
+		OnLink: func(linkCtx context.Context, l *linker.Link) {
+			// serveLink starts keepers, which must outlive this one.
+			c.serveLink(ctx, linkCtx, l)
 		},
 	}
-	go keeper.Run(keeping)
+	go keeper.Run(keeperCtx)
 	return stop
 }
 
-// serveLink handles the messages of one link until it closes or linked ends.
-func (c *Client) serveLink(ctx, linked context.Context, l *linker.Link) {
+// serveLink handles the messages of one link until it closes or linkCtx ends. Keepers
+// that it starts run until ctx ends.
+func (c *Client) serveLink(ctx, linkCtx context.Context, l *linker.Link) {
 	c.handleHello(ctx, l, l.Peer)
 	defer c.handleLinkClosed(ctx, l)
 	for {
@@ -134,7 +135,7 @@
 				return
 			}
 			c.handleMessage(ctx, l, m)
-		case <-linked.Done():
+		case <-linkCtx.Done():
 			return
 		}
 	}
