reconfigurer: names and comments without figures of speech

Members don't forget each other, and an even number isn't worth losses. Admit also says that it removes a former member only if the group allows it.

--- a/reconfigurer/reconfigurer.go
+++ b/reconfigurer/reconfigurer.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	// forgetAfter is how long a learner may be silent before it is removed; one
+	// maxLearnerSilence is how long a learner may be silent before it is removed; one
 	// that comes back asks to be admitted again.
-	forgetAfter = 10 * time.Second
-	// answerTimeout is how long ago a member that answers has answered, at most:
-	// a few heartbeats.
+	maxLearnerSilence = 10 * time.Second
+	// answerTimeout is the age of the last answer up to which a member counts as
+	// answering: a few heartbeats.
 	answerTimeout       = 500 * time.Millisecond
 	defaultTolerance    = 1
 	defaultReplaceAfter = 2 * time.Second
@@ -88,16 +88,16 @@
 func Quorum(voters int) int { return voters/2 + 1 }
 
 // mayRemove reports whether one of so many voters may be removed without a
-// successor at hand. From an odd number the quorum stays the same, so no
-// committed entry is on fewer voters; an even number is worth as many losses as
-// the odd one below it.
+// successor. Removing one of an odd number doesn't change the quorum, so no committed
+// entry is on fewer voters. An even number bears only as many losses as the odd one
+// below it.
 func (p Policy) mayRemove(voters int) bool {
 	return voters > 1 && (voters%2 == 1 || voters-1 >= p.fewestVoters())
 }
 
-// Admit returns the change that a member needs which asks to be admitted, or
-// false if it is a member already. A member with another id at the same address
-// has lost its disk, so it is removed first.
+// Admit returns the change for a host that asks to be admitted as the member m, or
+// false if m is a member at this address already. A member with another id at the same
+// address has lost its disk, so it is removed first if the group allows it.
 func (p Policy) Admit(members modeler.Membership, m modeler.Member) (Change, bool) {
 	if at := slices.IndexFunc(members.Members, func(held modeler.Member) bool { return held.ID == m.ID }); at >= 0 {
 		if members.Members[at].Address == m.Address {
@@ -150,7 +150,7 @@
 
 // next returns the change that is due, whether it can be committed now or not.
 func (p Policy) next(now modeler.ClockReading, status replicator.Status, leaving []modeler.MemberID) (Change, bool) {
-	if gone := forgottenLearner(now, status); gone != 0 {
+	if gone := silentLearner(now, status); gone != 0 {
 		return remove(status.Members, gone, "the learner is silent"), true
 	}
 	voters := countVoters(status.Members)
@@ -201,10 +201,11 @@
 	}
 }
 
-// forgottenLearner returns a learner that has been silent for forgetAfter, or 0.
-func forgottenLearner(now modeler.ClockReading, status replicator.Status) modeler.MemberID {
+// silentLearner returns a learner that has been silent for longer than
+// maxLearnerSilence, or 0.
+func silentLearner(now modeler.ClockReading, status replicator.Status) modeler.MemberID {
 	for _, m := range status.Progress {
-		if m.Member.Learner && now.Sub(m.SilentSince) > forgetAfter {
+		if m.Member.Learner && now.Sub(m.SilentSince) > maxLearnerSilence {
 			return m.Member.ID
 		}
 	}
@@ -256,6 +257,7 @@
 	return 0
 }
 
+// readyLearners returns the learners that can be promoted.
 func readyLearners(status replicator.Status) []modeler.MemberID {
 	var ready []modeler.MemberID
 	for _, m := range status.Progress {
