--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -465,8 +465,8 @@
 func (l *admissionLog) reset() { l.lastAnswer, l.requests = "", 0 }
 
 // leaveGroup hands the leadership over, tells the leader that the process stops, and
-// waits until a learner has taken its place, up to leaveTimeout. Without a learner the process keeps its
-// vote, since it may only restart.
+// waits until a learner has taken its place, up to leaveTimeout. Without a learner the
+// process keeps its vote, since it may only restart.
 func (p *process) leaveGroup(ctx context.Context, c *controller.Controller) {
 	if !c.CanBeReplaced() {
 		return
