--- a/applier/snapshot.go
+++ b/applier/snapshot.go
@@ -120,7 +120,7 @@
 
 // decoder raises the library's limits on the sizes of lists and maps, which a
 // snapshot of a large cell and long lists in a command exceed, and accepts strings
-// of any bytes. It must accept whatever comes over a link.
+// of any bytes. It must accept whatever the decoder of linker accepts.
 var decoder = newDecoder()
 
 func newDecoder() cbor.DecMode {
--- a/controller/core.go
+++ b/controller/core.go
@@ -458,6 +458,7 @@
 	})
 }
 
+// isReplaceable reports whether this member votes and the group has a learner.
 func (c *core) isReplaceable(status replicator.Status) bool {
 	votes, hasLearner := false, false
 	for _, m := range status.Members.Members {
--- a/controller/joining.go
+++ b/controller/joining.go
@@ -33,8 +33,8 @@
 	return errorReply(classifier.New(classifier.Unconfirmed, "the member is being added"))
 }
 
-// releaseMember notes that a member is about to stop, so that a learner takes its
-// place. The reply is of the kind Unconfirmed until that is done.
+// releaseMember notes that a member is about to stop, proposes the change by which a
+// learner takes its place, and replies with the kind Unconfirmed until that is done.
 func (c *core) releaseMember(now modeler.ClockReading, id modeler.MemberID) modeler.Reply {
 	if id == c.controller.settings.Member || c.log.Transferring() {
 		return errorReply(classifier.New(classifier.NoLeader, "this member is about to stop"))
--- a/controller/quorum_test.go
+++ b/controller/quorum_test.go
@@ -123,7 +123,7 @@
 	t.Cleanup(m.stop)
 }
 
-// metric returns whether the member's metrics hold a value of a metric.
+// hasMetric reports whether the member's metrics hold the value for the metric.
 func (m *watchedMember) hasMetric(name, value string) bool {
 	var text bytes.Buffer
 	reporter.WriteMetrics(&text, m.report)
--- a/dialer/exchange.go
+++ b/dialer/exchange.go
@@ -276,9 +276,9 @@
 
 func (e *sentLateError) Unwrap() error { return e.cause }
 
-// SentLate reports whether a request failed on a connection that had not been used
-// for longer than usable when the request was sent. The worker may have closed it
-// for that reason: this process was delayed after it had chosen the connection.
+// SentLate reports whether a request failed on a connection that had been idle for too
+// long to be reused when the request was sent: this process was delayed after it had
+// chosen the connection, and the worker may have closed it meanwhile.
 func SentLate(err error) bool {
 	var late *sentLateError
 	return errors.As(err, &late)
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -322,6 +322,7 @@
 	d.releaseHeldBack(h)
 }
 
+// listDeparture lists a departed worker in the output, to be recorded.
 func (d *Dispatcher) listDeparture(now modeler.ClockReading, h *host) {
 	h.departureSentAt = now
 	d.out.Departed = append(d.out.Departed, h.worker.ID)
--- a/replicator/replacement_test.go
+++ b/replicator/replacement_test.go
@@ -117,7 +117,7 @@
 	return slices.ContainsFunc(h.membership.Members, func(m modeler.Member) bool { return m.ID == h.id })
 }
 
-// apply proposes a change of the members to the leader.
+// propose proposes a change of the members to the leader.
 func (s *site) propose(leader *host, change reconfigurer.Change) {
 	if err := leader.r.ChangeMembers(s.reading(leader), change.Members); err == nil {
 		s.counts[fmt.Sprint("changes of kind ", change.Kind)]++
