--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -33,25 +33,20 @@
 // most kinds of faults, and each seed that ever failed, with its cause.
 var keptSeeds = []uint64{
 	1, 2,
-	// The stand-in worker crashed again before the restart of its first crash
-	// was due; that restart then began a new generation while tasks ran.
+	// A stand-in worker that crashed twice was restarted while tasks ran.
 	1235483723,
-	// A new generation of a worker carried out a start that was sent to the
-	// previous one. The task was then taken for lost with the previous generation
-	// and was started again elsewhere.
+	// A task that a new generation of a worker ran was taken for lost with the former.
 	3966650880,
-	// The stand-in worker carried out an order that its former generation had
-	// received, after the end of the task was acknowledged.
+	// A stand-in worker carried out an order that its former generation had received.
 	262152143,
 }
 
 // keptReplacements are the seeds that CI runs with replacements of hosts: those that
 // ever failed, with the cause.
 var keptReplacements = []uint64{
-	// A host that was killed for good stayed a voter beside its successor, so the
-	// loss of the next one left two of four voters.
+	// A host that was killed for good stayed a voter beside its successor.
 	7,
-	// The same, with a lost disk among the voters that were left.
+	// The same, with a lost disk among the other voters.
 	411166679,
 	// A host that was stopped for good stayed a voter beside its successor.
 	1633984649,
@@ -59,33 +54,24 @@
 
 // longReplacements are seeds like keptReplacements that need longLength to fail.
 var longReplacements = []uint64{
-	// A host was stopped in order 2.8 s after its successor had come. The leader lost
-	// its disk when the successor counted no longer as lost, 1.7 s later, while the
-	// host that had left was still a voter.
+	// A host that was stopped in order was still a voter when the leader lost its disk.
 	1849266312,
 	// The same with a host that was killed for good.
 	3811052921,
-	// A new leader counted the silence of a dead voter from its own election on, and
-	// was killed before that voter was removed.
+	// A new leader was killed before it removed a voter that was dead at its election.
 	1971548144,
-	// A voter that only restarted was removed while another voter was dead, so the
-	// removal could never be committed.
+	// A voter that restarted was removed while another one was dead.
 	1840052005,
-	// A leader that stopped didn't hand over in time, because commits took a second,
-	// and left without an exchange with its successor.
+	// A leader that stopped left before a learner had its vote, as commits were slow.
 	2365797755,
-	// As the last one of keptSeeds, and a renewal that the stand-in worker held open
-	// through its crash listed the tasks of the next generation. Before, a voter that
-	// only restarted was removed while another one was dead, and a leader left without
-	// an exchange with its successor.
+	// The two above, and a renewal held open through a crash listed later tasks.
 	915517524,
 }
 
 // keptOverlapping are seeds with replacements of hosts and faults that overlap them.
 var keptOverlapping = []uint64{
 	1, 2, 3,
-	// The machine held the soak up for a second, so that all links broke, and the soak
-	// emptied the next disk before the members had elected a leader for long enough.
+	// The machine delayed the soak, which then emptied a disk too early.
 	850761181,
 }
 
@@ -116,8 +102,8 @@
 	return binary
 }
 
-// plays bounds the soaks that run side by side, of all tests.
-var plays = sync.OnceValue(func() chan struct{} { return make(chan struct{}, *concurrency) })
+// running bounds the soaks that run side by side, of all tests.
+var running = sync.OnceValue(func() chan struct{} { return make(chan struct{}, *concurrency) })
 
 // extent tells which faults a soak injects.
 type extent int
@@ -158,8 +144,8 @@
 	for _, s := range seeds {
 		t.Run(fmt.Sprint(s), func(t *testing.T) {
 			t.Parallel()
-			plays() <- struct{}{}
-			defer func() { <-plays() }()
+			running() <- struct{}{}
+			defer func() { <-running() }()
 			k.runSeed(t, faults, length, s)
 		})
 	}
