--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -23,13 +23,12 @@
 	})
 }
 
-// pollInterval is the time between two looks at the connections.
+// pollInterval is the time between two checks of the connections.
 const pollInterval = 2 * time.Millisecond
 
 // Listener is a listener of an HTTP server that knows which connections have data
-// that the server hasn't taken up. http.Server.Shutdown resets the connections that
-// wait to be accepted, and closes those that it takes for idle, although a request
-// may have arrived there.
+// that the server hasn't read. http.Server.Shutdown resets the connections that wait
+// to be accepted, and closes idle ones, although a request may have arrived there.
 type Listener struct {
 	net.Listener
 
@@ -70,8 +69,8 @@
 	}
 }
 
-// WaitUntilRead waits until the server has accepted all connections and has taken
-// up all requests that have begun to arrive, or until ctx ends. It is to be called
+// WaitUntilRead waits until the server has accepted all connections and has begun to
+// serve all requests that have begun to arrive, or until ctx ends. It must be called
 // just before http.Server.Shutdown.
 func (l *Listener) WaitUntilRead(ctx context.Context) {
 	ticker := time.NewTicker(pollInterval)
