--- a/replicator/reconfiguration_test.go
+++ b/replicator/reconfiguration_test.go
@@ -91,7 +91,7 @@
 				s.run(time.Duration(s.rng.Int64N(int64(1500 * time.Millisecond))))
 				p := s.places[s.rng.IntN(len(s.places))]
 				if s.rng.IntN(2) == 0 && p.host != nil && s.isRunning(p.host) && s.now >= p.lostUntil && s.lost(lostUntil) < s.tolerance {
-					s.calmSince = s.now
+					s.lastFaultAt = s.now
 					if s.rng.IntN(3) == 0 {
 						s.cutFromLeader(p)
 					} else {
--- a/replicator/replacement_test.go
+++ b/replicator/replacement_test.go
@@ -26,7 +26,7 @@
 	tickInterval = 100 * time.Millisecond
 	joinInterval = 300 * time.Millisecond
 	// leaveTimeout bounds the time for which a host that stops waits until it has no
-	// vote, and leaveInterval is the time between two looks.
+	// vote, and leaveInterval is the time between two checks of that.
 	leaveTimeout  = 2500 * time.Millisecond
 	leaveInterval = 20 * time.Millisecond
 )
@@ -61,10 +61,10 @@
 	size      int
 	schedule  []scheduled
 	addresses int
-	// calmSince is when the last fault began or ended. exceeded says that more
+	// lastFaultAt is when the last fault began or ended. exceeded says that more
 	// places than tolerated were lost, and not all are back yet.
-	calmSince time.Duration
-	exceeded  bool
+	lastFaultAt time.Duration
+	exceeded    bool
 	// splitUntil is when the two halves of the hosts reach each other again.
 	splitUntil time.Duration
 	// leaving are the hosts that have told the leader that they stop.
@@ -187,7 +187,7 @@
 			continue
 		}
 		if !e.isCheck {
-			s.calmSince = s.now
+			s.lastFaultAt = s.now
 		}
 		e.do()
 	}
@@ -212,10 +212,10 @@
 	lost := s.lost(lostUntil)
 	s.exceeded = lost > s.tolerance || lost > 0 && (s.exceeded || s.now < s.splitUntil)
 	if s.exceeded || s.now < s.splitUntil {
-		s.calmSince = s.now
+		s.lastFaultAt = s.now
 	}
-	if s.now-s.calmSince > contact && s.leaseHolder() == nil {
-		s.fail("no leader %s after the last fault, %d places lost", s.now-s.calmSince, lost)
+	if s.now-s.lastFaultAt > contact && s.leaseHolder() == nil {
+		s.fail("no leader %s after the last fault, %d places lost", s.now-s.lastFaultAt, lost)
 	}
 }
 
@@ -286,7 +286,7 @@
 		return m.ID == h.id && !m.Learner
 	})
 	if !hasVote || s.now >= until {
-		s.calmSince = s.now
+		s.lastFaultAt = s.now
 		end()
 		return
 	}
@@ -353,7 +353,7 @@
 	switch {
 	case kind == 7:
 		if s.lost(lostUntil) == 0 {
-			s.calmSince = s.now
+			s.lastFaultAt = s.now
 			s.killAll()
 		}
 		return
@@ -362,7 +362,7 @@
 	case !(s.overlapping && !permanent) && s.lost(lostUntil) >= s.tolerance:
 		return
 	}
-	s.calmSince = s.now
+	s.lastFaultAt = s.now
 	switch kind {
 	case 0, 1:
 		s.replace(p)
@@ -378,7 +378,7 @@
 // finalFault takes as many disks as tolerated, and restarts all other hosts at
 // the same moment.
 func (s *site) finalFault() {
-	s.calmSince = s.now
+	s.lastFaultAt = s.now
 	s.note("final fault")
 	s.killAll()
 	s.rng.Shuffle(len(s.places), func(i, j int) { s.places[i], s.places[j] = s.places[j], s.places[i] })
--- a/replicator/restart_test.go
+++ b/replicator/restart_test.go
@@ -11,7 +11,7 @@
 	"goldcreststack.example/goldcreststack/replicator"
 )
 
-// announcement is a host's word to the leader of a term that it stops.
+// announcement identifies what a host has told the leader of a term: that it stops.
 type announcement struct {
 	member modeler.MemberID
 	term   modeler.Term
@@ -66,7 +66,7 @@
 		_ = s.transfer(h, 0)
 	}
 	if s.now >= until || !leads && (!(votes && hasLearner) || s.mayLeave(h)) {
-		s.calmSince = s.now
+		s.lastFaultAt = s.now
 		end()
 		return
 	}
@@ -216,15 +216,15 @@
 	kind := s.rng.IntN(12)
 	switch {
 	case kind == 0:
-		s.calmSince = s.now
+		s.lastFaultAt = s.now
 		s.powerOff()
 		return
 	case kind == 1:
-		s.calmSince = s.now
+		s.lastFaultAt = s.now
 		s.killAll()
 		return
 	case kind == 2:
-		s.calmSince = s.now
+		s.lastFaultAt = s.now
 		s.split()
 		return
 	case kind < 6 && s.lost(diskLostUntil) >= s.tolerance:
@@ -232,7 +232,7 @@
 	case s.lost(lostUntil) >= s.tolerance:
 		return
 	}
-	s.calmSince = s.now
+	s.lastFaultAt = s.now
 	switch kind {
 	case 3, 4, 5:
 		s.replaceLate(p)
