--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -55,7 +55,7 @@
 }
 
 // ServeRequest serves a caller's request to the named service; target is the
-// controlProxy and query sent to the worker.
+// path and query sent to the worker.
 func (f *Forwarder) ServeRequest(w http.ResponseWriter, r *http.Request, name modeler.ServiceName, target string) {
 	service, found := (*f.services.Load())[name]
 	if !found {
