--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -316,8 +316,8 @@
 
 // run serves the handlers until ctx ends. It then stops in this order: readiness
 // fails, an entry process waits drainDelay, a control process leaves the group,
-// the controller stops, the servers finish their requests, the links close. If a server or the controller fails, it
-// returns the error without waiting for requests.
+// the controller stops, the servers finish their requests, the links close. If a
+// server or the controller fails, it returns the error without waiting for requests.
 func (p *process) run(ctx context.Context, c *controller.Controller, handlers map[string]http.Handler) error {
 	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
@@ -383,22 +383,7 @@
 			p.leaveGroup(serveCtx, c)
 		}
 		stopMember()
-		shutdownCtx, cancel := context.WithTimeout(serveCtx, shutdownTimeout)
-		defer cancel()
-		// Leaves the other half of the time to requests that are being served.
-		readCtx, stopReading := context.WithTimeout(shutdownCtx, shutdownTimeout/2)
-		defer stopReading()
-		var stops sync.WaitGroup
-		for i, server := range servers {
-			listener := listeners[i]
-			stops.Go(func() {
-				listener.WaitUntilRead(readCtx)
-				if err := server.Shutdown(shutdownCtx); err != nil {
-					p.report.Warn("requests were cut off", "error", err)
-				}
-			})
-		}
-		stops.Wait()
+		p.stopServers(serveCtx, servers, listeners)
 		stopServing()
 		return nil
 	})
@@ -410,28 +395,38 @@
 	return err
 }
 
+// stopServers stops the servers, each with its listener, when they have served the
+// requests that have arrived, and after shutdownTimeout at the latest.
+func (p *process) stopServers(ctx context.Context, servers []*http.Server, listeners []*drainer.Listener) {
+	shutdownCtx, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	defer cancel()
+	// Leaves the other half of the time to requests that are being served.
+	readCtx, stopReading := context.WithTimeout(shutdownCtx, shutdownTimeout/2)
+	defer stopReading()
+	var stops sync.WaitGroup
+	for i, server := range servers {
+		listener := listeners[i]
+		stops.Go(func() {
+			listener.WaitUntilRead(readCtx)
+			if err := server.Shutdown(shutdownCtx); err != nil {
+				p.report.Warn("requests were cut off", "error", err)
+			}
+		})
+	}
+	stops.Wait()
+}
+
 // joinGroup asks to be admitted to the group as long as the process is not a
 // member.
 func (p *process) joinGroup(ctx context.Context, c *controller.Controller) error {
-	// The process asks several times a second until it belongs to the group, so
-	// the same answer is logged once every joinReportInterval.
-	var begun, logged time.Time
-	lastAnswer, requests := "", 0
+	answers := admissionLog{report: p.report, member: c.Member()}
 	for {
 		if c.Joined() {
-			lastAnswer, requests = "", 0
+			answers.reset()
 		} else {
 			m := modeler.Member{ID: c.Member(), Address: p.node.LinkAddress}
 			_, err := p.relay.Call(ctx, &modeler.Call{Kind: modeler.JoinCall, Member: &m})
-			now, answer := time.Now(), classifier.KindOf(err).String()
-			if requests == 0 {
-				begun = now
-			}
-			requests++
-			if answer != lastAnswer || now.Sub(logged) >= joinReportInterval {
-				lastAnswer, logged = answer, now
-				p.report.Info("admission asked", "member", m.ID, "answer", answer, "requests", requests, "since", now.Sub(begun).String())
-			}
+			answers.add(classifier.KindOf(err).String())
 		}
 		select {
 		case <-time.After(joinInterval):
@@ -441,10 +436,37 @@
 	}
 }
 
-// leaveGroup hands the leadership over and tells the leader that the process
-// stops, so that a waiting learner takes its place, and waits until that is done.
-// It isn't known whether the process is replaced or comes back; without a learner
-// its place is kept.
+// admissionLog logs the answers to requests to join, of which there are several a
+// second: the same answer once every joinReportInterval.
+type admissionLog struct {
+	report   *reporter.Reporter
+	member   modeler.MemberID
+	requests int
+	begun    time.Time
+	// lastAnswer is the answer that was logged last, at loggedAt.
+	lastAnswer string
+	loggedAt   time.Time
+}
+
+// add adds the answer to a request.
+func (l *admissionLog) add(answer string) {
+	now := time.Now()
+	if l.requests == 0 {
+		l.begun = now
+	}
+	l.requests++
+	if answer != l.lastAnswer || now.Sub(l.loggedAt) >= joinReportInterval {
+		l.lastAnswer, l.loggedAt = answer, now
+		l.report.Info("admission asked", "member", l.member, "answer", answer, "requests", l.requests, "since", now.Sub(l.begun).String())
+	}
+}
+
+// reset begins a new series of requests.
+func (l *admissionLog) reset() { l.lastAnswer, l.requests = "", 0 }
+
+// leaveGroup hands the leadership over, tells the leader that the process stops, and
+// waits until a learner has taken its place, up to leaveTimeout. Without a learner the
+// process keeps its vote, since it may only restart.
 func (p *process) leaveGroup(ctx context.Context, c *controller.Controller) {
 	if !c.CanBeReplaced() {
 		return
