Soak: end the watch of delays before the report is read

All soaks that ran at the time were marked as failed; none broke a promise.

Change: Run ends the watch and waits for it.

--- a/soaker/delay.go
+++ b/soaker/delay.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -18,11 +19,11 @@
 )
 
 // watchDelays counts control hosts as lost whose processes wait long for a processor,
-// and all of them if the soak itself does, since it carries their links. The users
-// count slowed hosts as lost, until they have had the time to catch up.
-func (w *world) watchDelays() {
+// and all of them if the soak itself does, since it carries their links, until ctx
+// ends. The users count slowed hosts as lost, until they have had the time to catch up.
+func (w *world) watchDelays(ctx context.Context) {
 	waits := make(map[string]time.Duration)
-	for ; w.ctx.Err() == nil; w.sleep(delayCheckInterval) {
+	for ; ctx.Err() == nil; w.sleep(delayCheckInterval) {
 		begun := time.Now()
 		hosts := w.controlHosts()
 		for _, p := range hosts {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -128,7 +128,10 @@
 	if err := w.startAll(); err != nil {
 		return Report{}, err
 	}
-	go w.watchDelays()
+	var watcher sync.WaitGroup
+	watching, endWatching := context.WithCancel(ctx)
+	defer endWatching()
+	watcher.Go(func() { w.watchDelays(watching) })
 	var callers sync.WaitGroup
 	running, end := context.WithCancel(ctx)
 	defer end()
@@ -146,6 +149,8 @@
 		w.checkEnd()
 		w.awaitJobs()
 	}
+	endWatching()
+	watcher.Wait()
 	w.check.mu.Lock()
 	defer w.check.mu.Unlock()
 	return Report{Jobs: len(w.check.jobs), Starts: w.check.starts, Faults: w.faults, Violations: w.check.violations}, nil
