Soak: listen at a port that outgoing connections don't get

Seen: (three hosts, 15 s, faults that overlap) failed without any delay of the machine: "control processes ended by themselves in the 15s after the last fault", then no leader. control-1 could not listen at 127.21.2.1:35673 for 45 s and more, "address already in use", 366 times.

Cause: the soak. Since control processes open their links from the address at which they listen, and the port came from the range of outgoing connections. A process that came back could give the port to one of its own links before it listened there, ended, and left the connection in TIME_WAIT, which holds the port for 60 s and is renewed by each further try.

--- a/soaker/process.go
+++ b/soaker/process.go
@@ -91,7 +91,7 @@
 // writeSettings writes the settings file of a process with the given seeds.
 func (w *world) writeSettings(p *process, seeds []string) error {
 	node := imitator.Node{
-		Name: p.name, IP: p.host, Entry: p.role == "entry", Port: w.port, Seeds: seeds, Bootstrap: w.bootstrap.Load(),
+		Name: p.name, IP: p.host, Entry: p.role == "entry", Port: linkPort, Seeds: seeds, Bootstrap: w.bootstrap.Load(),
 		DataFolder: p.data, PolicyAddress: w.policy, MaxLease: maxLease, MaxStopTime: stopTime,
 		LossTolerance: w.tolerance, CatchUp: catchUp,
 	}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -62,7 +62,6 @@
 	ctx          context.Context
 	check        *check
 	network      *network
-	port         int
 	entries      []*process
 	workers      []*worker
 	// policy is the address of the stand-in policy.
@@ -208,15 +207,12 @@
 	policyAddress
 )
 
+// linkPort is the port of links. It is none of those that the system gives to outgoing
+// connections: a process that comes back could not listen at the port of such a
+// connection for a minute after its end.
+const linkPort = 7700
+
 func (w *world) startAll() error {
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	w.port = free.Addr().(*net.TCPAddr).Port
-	if err := free.Close(); err != nil {
-		return err
-	}
 	if err := w.startPolicy(); err != nil {
 		return err
 	}
@@ -248,11 +244,11 @@
 }
 
 // linkAddress returns the address of the given IP address at the port of links.
-func (w *world) linkAddress(ip string) string { return net.JoinHostPort(ip, strconv.Itoa(w.port)) }
+func (w *world) linkAddress(ip string) string { return net.JoinHostPort(ip, strconv.Itoa(linkPort)) }
 
 // offsetAddress returns the address of the given IP address at the port n above the
 // port of links; callers and workers use such ports.
-func (w *world) offsetAddress(ip string, n int) string { return imitator.PortAddress(ip, w.port, n) }
+func (w *world) offsetAddress(ip string, n int) string { return imitator.PortAddress(ip, linkPort, n) }
 
 // newClient returns an HTTP client with connections of its own, which it keeps
 // open until the other side closes them.
