--- a/review/_stand/cases.go
+++ b/review/_stand/cases.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -70,7 +71,7 @@
 
 // manyEnds kills all control processes while a worker's many small tasks end.
 func manyEnds(r *run) {
-	const count = 1500
+	const jobs, width = 38, 40
 	r.ledger.duration = func(*worker, string, step) (time.Duration, bool) { return 6 * time.Second, false }
 	startSystem(r, []string{"desk"}, []queue{{"/batch/", "desk", 0, 3}}, func() (list []*worker) {
 		for i := range 6 {
@@ -78,13 +79,14 @@
 		}
 		return list
 	})
-	job := jobID(1)
-	r.cell.submit("/batch/", job, step{Count: count, CPU: 20, MemMB: 16, EstimatedMS: 6000})
-	if !await(20*time.Second, func() bool { return r.ledger.running(job) == count }) {
-		r.cannot("the tasks do not start in time: %d run, %d done", r.ledger.running(job), r.ledger.doneTasks(job))
+	for i := range jobs {
+		r.cell.submit("/batch/", jobID(i+1), step{Count: width, CPU: 20, MemMB: 16, EstimatedMS: 6000})
+	}
+	if !await(20*time.Second, func() bool { return r.ledger.running("") == jobs*width }) {
+		r.cannot("the tasks do not start in time: %d run, %d done", r.ledger.running(""), r.ledger.doneTasks(""))
 	}
 	r.note("all tasks run")
-	await(20*time.Second, func() bool { return r.ledger.doneTasks(job) > 0 })
+	await(20*time.Second, func() bool { return r.ledger.doneTasks("") > 0 })
 	r.note("the first task has ended")
 	if r.trouble {
 		for _, p := range r.cell.controls {
@@ -96,8 +98,13 @@
 			r.cell.start(p, false)
 		}
 	}
-	await(30*time.Second, func() bool { return r.cell.state("/batch/", job) == "completed" })
-	r.note("state of the job: %s, %d tasks done", r.cell.state("/batch/", job), r.ledger.doneTasks(job))
+	completed := 0
+	for i := range jobs {
+		if await(30*time.Second, func() bool { return r.cell.state("/batch/", jobID(i+1)) == "completed" }) {
+			completed++
+		}
+	}
+	r.note("%d of %d jobs completed, %d tasks done", completed, jobs, r.ledger.doneTasks(""))
 	time.Sleep(time.Second)
 	r.ledger.checkRestarts()
 }
@@ -220,3 +227,59 @@
 		r.note("job %s: %d of %d tasks at work, state %s", jobID(i+1), r.ledger.running(jobID(i+1)), tasks, r.cell.state("/watch/", jobID(i+1)))
 	}
 }
+
+// wideJob hands one job with many tasks in, beside small ones.
+func wideJob(r *run) {
+	r.ledger.duration = func(_ *worker, _ string, s step) (time.Duration, bool) {
+		return time.Duration(s.EstimatedMS) * time.Millisecond, false
+	}
+	startSystem(r, []string{"desk"}, []queue{{"/small/", "desk", 0, 3}, {"/batch/", "desk", 2, 3}}, func() (list []*worker) {
+		for i := range 6 {
+			list = append(list, startWorker(r, fmt.Sprintf("i-%d", i+1), "desk", fmt.Sprintf("r1-%d", i+1), 32000, 65536))
+		}
+		return list
+	})
+	const before, jobs, wide = 5, 25, 60_000
+	var clients sync.WaitGroup
+	var mu sync.Mutex
+	var accepted []string
+	for i := range jobs {
+		if i == before && r.trouble && !r.cell.trySubmit("/batch/", jobID(1000), 1, step{Count: wide, CPU: 100, MemMB: 100, EstimatedMS: 1000}) {
+			r.cannot("the wide job is not accepted")
+		}
+		clients.Go(func() {
+			// A client tries five times, at one node after the other.
+			if id := jobID(i + 1); r.cell.trySubmit("/small/", id, 5, step{Count: 2, CPU: 2500, MemMB: 1000, EstimatedMS: 300}) {
+				mu.Lock()
+				defer mu.Unlock()
+				accepted = append(accepted, id)
+			}
+		})
+		time.Sleep(time.Second)
+	}
+	clients.Wait()
+	r.note("end of the traffic: %d of %d small jobs accepted", len(accepted), jobs)
+	time.Sleep(14 * time.Second)
+	r.note("finish_s after the end of the traffic the jobs are asked for")
+	var checks sync.WaitGroup
+	if r.trouble {
+		checks.Go(func() { r.checkKnown("/batch/", jobID(1000)) })
+	}
+	for _, id := range accepted {
+		checks.Go(func() { r.checkKnown("/small/", id) })
+	}
+	checks.Wait()
+}
+
+// checkKnown asks for a job that was accepted for up to 5 s, at all entry processes.
+func (r *run) checkKnown(prefix, id string) {
+	began, state := time.Now(), ""
+	await(5*time.Second, func() bool {
+		state = r.cell.state(prefix, id)
+		return state != ""
+	})
+	r.note("GET %s%s -> %q after %s, %d of its tasks run, %d are done", prefix, id, state, time.Since(began).Round(time.Millisecond), r.ledger.running(id), r.ledger.doneTasks(id))
+	if state == "" {
+		r.violate("LOST job %s was accepted and gets no answer from any node; %d of its tasks run and %d are done", id, r.ledger.running(id), r.ledger.doneTasks(id))
+	}
+}
--- a/review/_stand/cell.go
+++ b/review/_stand/cell.go
@@ -72,7 +72,7 @@
 
 // startCell starts all processes of a new system within 0.3 s.
 func startCell(r *run, controls, entries int) *cell {
-	c := &cell{run: r, client: &http.Client{Timeout: time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	c := &cell{run: r, client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	r.cell = c
 	for i := range controls {
 		p := &process{run: r, name: fmt.Sprintf("core-%d", i+1), role: "control", class: "core", ip: r.nextIP(), zone: zones[i%len(zones)]}
--- a/review/_stand/client.go
+++ b/review/_stand/client.go
@@ -66,21 +66,27 @@
 
 // submit hands a job in, again after no answer or a refusal, until it is accepted.
 func (c *cell) submit(prefix, id string, steps ...step) {
+	if !c.trySubmit(prefix, id, 100, steps...) {
+		c.run.cannot("job %s is not accepted", id)
+	}
+}
+
+// trySubmit hands a job in, again after no answer or a refusal, and reports whether
+// it is accepted.
+func (c *cell) trySubmit(prefix, id string, tries int, steps ...step) bool {
 	c.run.ledger.addJob(id, steps)
 	text, err := json.Marshal(map[string]any{"spec": "spec of " + id, "steps": steps})
 	c.run.require(err, "job")
-	for try := 0; ; try++ {
+	for try := range tries {
 		p := c.entries[try%len(c.entries)]
 		status, _ := c.call("POST", "http://"+p.at(frontPort)+prefix+id, queueHost, string(text))
 		c.run.note("POST %s%s at %s -> %d", prefix, id, p.name, status)
 		if status >= 200 && status < 300 {
-			return
-		}
-		if try > 100 {
-			c.run.cannot("job %s is not accepted, last status %d", id, status)
+			return true
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
+	return false
 }
 
 // state returns the state of a job, or "" without a proper answer.
--- a/review/_stand/ledger.go
+++ b/review/_stand/ledger.go
@@ -138,13 +138,13 @@
 	}
 }
 
-// running returns how many tasks of a job are at work.
+// running returns how many tasks of a job, or of all, are at work.
 func (l *ledger) running(job string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := 0
 	for task, t := range l.tasks {
-		if jobOf(task) == job && len(t.active) > 0 {
+		if (job == "" || jobOf(task) == job) && len(t.active) > 0 {
 			n++
 		}
 	}
@@ -163,13 +163,13 @@
 	return false
 }
 
-// doneTasks returns how many tasks of a job have a run that ended as done.
+// doneTasks returns how many tasks of a job, or of all, have a run that ended as done.
 func (l *ledger) doneTasks(job string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := 0
 	for task, t := range l.tasks {
-		if jobOf(task) == job && len(t.ends) > 0 {
+		if (job == "" || jobOf(task) == job) && len(t.ends) > 0 {
 			n++
 		}
 	}
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -24,6 +24,7 @@
 	"foreign-heartbeat": foreignHeartbeat,
 	"many-ends":         manyEnds,
 	"lost-copy":         lostCopy,
+	"wide-job":          wideJob,
 	"grey-service":      greyService,
 }
 
--- a/review/_stand/worker.go
+++ b/review/_stand/worker.go
@@ -319,7 +319,6 @@
 			time.Sleep(heartbeatInterval)
 			continue
 		}
-		w.run.note("heartbeat of %s to %s got no acknowledgement", w.id, target)
 		next = ""
 		time.Sleep(50 * time.Millisecond)
 	}
