--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/goldcreststack ] && [ -x review/bin/stand ] || { echo "build first: the deploy file's build and review/build.sh"; exit 2; }
-exec review/bin/stand many-ends review/2
+exec review/bin/stand wide-job review/2
--- a/review/_stand/cases.go
+++ b/review/_stand/cases.go
@@ -122,7 +122,10 @@
 	}
 	workers := startSystem(r, []string{"desk"}, []queue{{"/batch/", "desk", 0, 3}}, func() (list []*worker) {
 		for i := range 6 {
-			list = append(list, startWorker(r, fmt.Sprintf("i-%d", i+1), "desk", fmt.Sprintf("r1-%d", i+1), 32000, 65536))
+			w := newWorker(r, fmt.Sprintf("i-%d", i+1), "desk", fmt.Sprintf("r1-%d", i+1), 32000, 65536)
+			w.link = &link{}
+			w.serve()
+			list = append(list, w)
 		}
 		return list
 	})
--- a/review/_stand/link.go
+++ b/review/_stand/link.go
@@ -17,18 +17,18 @@
 	cut bool
 }
 
-func newLink(listener net.Listener, to string) *link {
-	l := &link{to: to}
+// serve passes the connections on that come to the listener.
+func (l *link) serve(listener net.Listener, to string) {
+	l.to = to
 	go func() {
 		for {
 			in, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go l.serve(in)
+			go l.connect(in)
 		}
 	}()
-	return l
 }
 
 func (l *link) isCut() bool {
@@ -43,7 +43,7 @@
 	l.cut = cut
 }
 
-func (l *link) serve(in net.Conn) {
+func (l *link) connect(in net.Conn) {
 	defer in.Close()
 	gone := make(chan struct{})
 	out, err := net.Dial("tcp", l.to)
--- a/review/_stand/worker.go
+++ b/review/_stand/worker.go
@@ -28,7 +28,7 @@
 	kind     string
 	rack     string
 	cpu, mem int
-	// address is where callers reach the worker: that of its link.
+	// address is where callers reach the worker: that of its link, if it has one.
 	address string
 	link    *link
 
@@ -102,10 +102,13 @@
 	ip := r.nextIP()
 	listener, err := net.Listen("tcp", ip+":0")
 	r.require(err, "listener of a worker")
-	front, err := net.Listen("tcp", ip+":0")
-	r.require(err, "listener of a link")
-	w.address = front.Addr().String()
-	w.link = newLink(front, listener.Addr().String())
+	w.address = listener.Addr().String()
+	if w.link != nil {
+		front, err := net.Listen("tcp", ip+":0")
+		r.require(err, "listener of a link")
+		w.address = front.Addr().String()
+		w.link.serve(front, listener.Addr().String())
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /-/run-start", w.handle(w.start))
 	mux.HandleFunc("POST /-/run-stop", w.handle(w.stop))
@@ -302,7 +305,7 @@
 	client := &http.Client{Timeout: time.Second}
 	next := ""
 	for try := 0; ; {
-		if w.link.isCut() {
+		if w.link != nil && w.link.isCut() {
 			// What the worker sends is lost.
 			next = ""
 			time.Sleep(time.Second)
