controller: metrics and a log line of long turns of the core

Before a fault can be traced to the core goroutine, it has to be visible: "nobody leads" after a turn that outlasted the lease looked like a cut of links. Each turn now has a histogram, with its parts (events, deadlines, take-over, decisions, apply), and one that takes a quarter of the lease or more writes a line, limited to one in 5 s.

--- a/controller/core.go
+++ b/controller/core.go
@@ -88,6 +88,10 @@
 	// over; nil if none is under way.
 	handOverDone chan struct{}
 
+	// turn measures the current turn; longTurnLimit limits the lines about long ones.
+	turn          turn
+	longTurnLimit repeatLimit
+
 	// lostElections is the number of lost elections that have been reported.
 	lostElections     uint64
 	lostElectionLimit repeatLimit
@@ -132,16 +136,21 @@
 	for {
 		select {
 		case e := <-c.controller.events:
+			c.beginTurn()
 			c.handle(ctx, e)
 			c.handleBurst(ctx)
+			c.turn.spend(turnEvents, c.turn.began)
 		case <-timer.C:
+			c.beginTurn()
 			c.tick(ctx)
+			c.turn.spend(turnDeadlines, c.turn.began)
 		case <-ctx.Done():
 			return nil
 		}
 		if err := c.flush(ctx); err != nil {
 			return err
 		}
+		c.endTurn()
 		timer.Reset(c.timeToNextTick())
 	}
 }
@@ -175,6 +184,7 @@
 
 func (c *core) handle(ctx context.Context, p postedEvent) {
 	now := c.controller.now()
+	c.turn.events++
 	c.lastEventPosted = p.at
 	switch e := p.event.(type) {
 	case peerMessage:
@@ -252,8 +262,10 @@
 		c.updateLeadership(now)
 		if c.leader != nil {
 			c.slotAllocator.SetLeaseEnd(c.log.LeaseEnd(now))
+			begun := time.Now()
 			c.leader.executeDecisions(ctx, now)
 			c.sendGrants(now)
+			c.turn.spend(turnDecisions, begun)
 		}
 		out := c.log.Output()
 		if err := c.processOutput(ctx, out); err != nil {
@@ -327,6 +339,8 @@
 // applyEntries applies committed entries and replies to the proposals that wait
 // for them.
 func (c *core) applyEntries(ctx context.Context, entries []modeler.LogEntry) error {
+	defer c.turn.spend(turnApply, time.Now())
+	c.turn.entries += len(entries)
 	for i := range entries {
 		e := &entries[i]
 		result := modeler.Result{Index: e.Index}
@@ -469,6 +483,7 @@
 }
 
 func (c *core) beginLeadership(now modeler.ClockReading, term modeler.Term) {
+	defer c.turn.spend(turnTakeOver, time.Now())
 	c.controller.settings.Report.Info("leadership begins", "term", term)
 	c.controller.settings.OnLeadership(true)
 	c.leader = newLeadership(c, now, term)
--- a/controller/report.go
+++ b/controller/report.go
@@ -38,6 +38,10 @@
 	// flowOrders and flowOrderTime have one metric for each kind of order.
 	flowOrders    [modeler.ThrottleOrder + 1]*metrics.Counter
 	flowOrderTime [modeler.ThrottleOrder + 1]*metrics.Histogram
+	// turnTime is the time of whole turns, and turnPartTime that of their parts.
+	turnTime     *metrics.Histogram
+	turnPartTime [turnParts]*metrics.Histogram
+	longTurns    *metrics.Counter
 }
 
 func newCounts(r *reporter.Reporter) *counts {
@@ -65,6 +69,7 @@
 		c.flowOrders[i] = r.Counter("flow_orders_total", label)
 		c.flowOrderTime[i] = r.Histogram("flow_order_seconds", label)
 	}
+	c.addTurnMetrics(r)
 	return c
 }
 
--- a/replicator/leader.go
+++ b/replicator/leader.go
@@ -117,13 +117,13 @@
 		return false
 	}
 	now = max(now, r.now)
-	return now.Sub(r.quorumAnsweredAt(now)) < r.leaseDuration()
+	return now.Sub(r.quorumAnsweredAt(now)) < r.LeaseDuration()
 }
 
-// leaseDuration returns how long a lease lasts after the round that renews it
+// LeaseDuration returns how long a lease lasts after the round that renews it
 // was sent. It is 3% shorter than the time for which followers refuse votes:
 // two clocks that are each off by 1% differ by 2.02%.
-func (r *Replicator) leaseDuration() time.Duration {
+func (r *Replicator) LeaseDuration() time.Duration {
 	return r.cfg.ElectionMin - r.cfg.ElectionMin*3/100
 }
 
--- a/replicator/lease.go
+++ b/replicator/lease.go
@@ -9,5 +9,5 @@
 	if !r.LeaseValid(now) {
 		return 0
 	}
-	return r.quorumAnsweredAt(now).Add(r.leaseDuration())
+	return r.quorumAnsweredAt(now).Add(r.LeaseDuration())
 }
