dispatcher: the cost of a start or an end does not grow with the width of its step

Nobody led for longer than its lease.

Cause: updateWaiting visited all tasks of a step for each single start, end, stop and restored attempt. A commit of 512 starts held the core goroutine up for longer than the lease of 388 ms, and each new leader restored the 512 attempts in the same way. StepDone, the failures and checkpoints of gangs and stopGang walked the step once an end too.

Change: the waiting tasks of a step are a bit set that each event updates for its own task; the replicated state counts open and occupied tasks and failures of gangs per step; a gang is stopped once; one pass of placement examines at most 50,000 workers and proposes at most 512 starts of steps that are no gangs, and each step without a worker is tried once a round; a log line names at most 32 workers; a flow that ends visits its own tasks, not all attempts; the units of a new leader are sorted once.

--- a/dispatcher/copy.go
+++ b/dispatcher/copy.go
@@ -42,7 +42,7 @@
 				d.abandon(now, r)
 			case d.runs[r.task] == r:
 				delete(d.runs, r.task)
-				r.unit.updateWaiting()
+				r.unit.updateWaiting(r.task.Index)
 			}
 		}
 	}
@@ -85,7 +85,7 @@
 func (d *Dispatcher) reinstateAbandoned(r *run) {
 	if r.abandoned && !r.stopping && d.runs[r.task] == nil && r.unit != nil {
 		d.runs[r.task] = r
-		r.unit.updateWaiting()
+		r.unit.updateWaiting(r.task.Index)
 	}
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"goldcreststack.example/goldcreststack/modeler"
@@ -43,6 +44,8 @@
 	term      modeler.Term
 	termBegan modeler.ClockReading
 	stamp     modeler.Timestamp
+	// restoring is set while a new leader takes the replicated state over.
+	restoring bool
 	hosts     map[modeler.WorkerID]*host
 	// hostList holds the values of hosts in the order in which they were added;
 	// hostsAt groups them by network address.
@@ -67,6 +70,12 @@
 	out           Output
 	// changed means that the state has changed since the last placement.
 	changed bool
+	// examined counts the workers examined in the current pass of the placement, which
+	// is partial if it did not reach all waiting steps. placeRound counts the rounds
+	// of passes that did.
+	examined      int
+	passIsPartial bool
+	placeRound    uint64
 	// searchStart is the index in hostList at which the next search for workers to
 	// ask about begins.
 	searchStart int
@@ -119,6 +128,8 @@
 		changed:      true,
 		senders:      1,
 		heldBack:     make(map[modeler.FlowTask]*host),
+		restoring:    true,
+		placeRound:   1,
 	}
 	for _, m := range state.Workers() {
 		h := d.addHost(now, m)
@@ -126,9 +137,14 @@
 	}
 	d.settings.Log("workers taken over", "count", len(d.hostList), "term", term)
 	state.ForEachFlow(func(f *sequencer.Flow) { d.restoreFlow(now, f) })
+	slices.SortFunc(d.sortedUnits, compareUnits)
+	d.restoring = false
 	return d
 }
 
+// HasMoreToPlace reports whether the last call of Output left steps for the next one.
+func (d *Dispatcher) HasMoreToPlace() bool { return d.passIsPartial && d.changed }
+
 // ApplyChanges applies committed changes of the replicated state.
 func (d *Dispatcher) ApplyChanges(now modeler.ClockReading, stamp modeler.Timestamp, changes []sequencer.Change) {
 	d.stamp = stamp
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -634,7 +634,7 @@
 	if r == nil && d.heldBack[e.Task] == h {
 		delete(d.heldBack, e.Task)
 		if u := d.units[e.Task.StepKey()]; u != nil {
-			u.updateWaiting()
+			u.updateWaiting(e.Task.Index)
 		}
 	}
 	if r == nil || r.phase == committing {
@@ -681,7 +681,7 @@
 		}
 		delete(d.heldBack, task)
 		if u := d.units[task.StepKey()]; u != nil {
-			u.updateWaiting()
+			u.updateWaiting(task.Index)
 		}
 	}
 }
--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -41,7 +41,7 @@
 // one. It skips requests with a slow decision unless slow is set.
 func (d *Dispatcher) NextPermitRequest(now modeler.ClockReading, slow bool) (modeler.PermitRequest, bool) {
 	for _, u := range d.sortedUnits {
-		if u.policy.Permits == nil || u.isAsking || now < u.nextAskAt || len(u.waiting) == 0 {
+		if u.policy.Permits == nil || u.isAsking || now < u.nextAskAt || u.waiting.len() == 0 {
 			continue
 		}
 		if !slow && u.policy.Permits.Decision > slowDecision {
@@ -126,7 +126,7 @@
 		}
 	}
 	share := d.queue(u.flow.Spec.Queue).allowed
-	want := permitHeadroom * float64(len(u.waiting))
+	want := permitHeadroom * float64(u.waiting.len())
 	var names []modeler.WorkerID
 	expected := 0.0
 	for _, c := range best {
@@ -152,7 +152,7 @@
 // if it names more workers, and most of a second request. Each call begins with
 // another worker, so that different steps wait for different workers.
 func (d *Dispatcher) addFullWorkers(now modeler.ClockReading, u *unit, names []modeler.WorkerID) []modeler.WorkerID {
-	hasEnough := !d.uses(HoldPermits) || len(u.permits) >= fullWorkersPerTask*len(u.waiting)
+	hasEnough := !d.uses(HoldPermits) || len(u.permits) >= fullWorkersPerTask*u.waiting.len()
 	for i := 0; i < len(d.hostList) && len(names) < maxAsked; i++ {
 		d.searchStart = (d.searchStart + 1) % len(d.hostList)
 		h := d.hostList[d.searchStart]
@@ -259,12 +259,18 @@
 		}
 		if at < 0 {
 			delete(u.permits, id)
+			if u.denied == nil {
+				u.denied = make(map[modeler.WorkerID]bool)
+			}
 			u.denied[id] = true
 			continue
 		}
 		if _, known := u.permits[id]; !known {
 			allowed++
 		}
+		if u.permits == nil {
+			u.permits = make(map[modeler.WorkerID]permit)
+		}
 		u.permits[id] = permit{
 			text:       a.Allowed[at].Permit,
 			expiresAt:  now.Add(validity - permitMargin),
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -20,24 +20,41 @@
 	// tasks without a worker. Each placement examines all workers that the step may
 	// use.
 	placementRetryInterval = 20 * time.Millisecond
+	// maxExamined bounds the workers examined in one pass of the placement. The rest
+	// of the waiting steps follows in the next pass, after the leader has handled
+	// other events: 50,000 workers take some milliseconds.
+	maxExamined = 50_000
+	// maxLoggedWorkers bounds the workers that one log line names.
+	maxLoggedWorkers = 32
 )
 
-// place assigns waiting tasks to workers.
+// place assigns waiting tasks to workers. One pass has a bounded length, and each step
+// without a worker is tried once in a round of passes, so that urgent steps that find
+// no worker don't keep others from being tried.
 func (d *Dispatcher) place(now modeler.ClockReading) {
 	reserving := 0
+	d.examined = 0
+	d.passIsPartial = false
 	for _, u := range d.sortedUnits {
-		if !u.ready || len(u.waiting) == 0 {
+		if !u.ready || u.waiting.len() == 0 {
 			u.lacksWorkers = false
 			d.releaseReservations(u)
 			continue
 		}
 		if d.committing >= maxCommitting {
+			d.placeRound++
 			return
 		}
-		if u.lacksWorkers && now < u.retryAt {
+		if u.lacksWorkers && (now < u.retryAt || u.placeRound == d.placeRound) {
 			reserving += min(len(u.reservations), 1)
 			continue
 		}
+		if d.examined >= maxExamined {
+			d.passIsPartial = true
+			d.changed = true
+			return
+		}
+		u.placeRound = d.placeRound
 		if u.step.Gang {
 			u.lacksWorkers = !d.placeGang(now, u)
 		} else {
@@ -53,28 +70,52 @@
 			d.releaseReservations(u)
 		}
 	}
+	d.placeRound++
 }
 
+// placeTasks places the waiting tasks of a step, up to the bounds of one pass.
 func (d *Dispatcher) placeTasks(now modeler.ClockReading, u *unit) {
-	waiting := slices.Clone(u.waiting)
 	u.lacksWorkers = false
 	placed := len(d.out.Starts)
 	defer func() { d.logPlaced(now, u, d.out.Starts[placed:]) }()
-	for _, index := range waiting {
-		h := d.pickHost(now, u, index, "")
+	var last *host
+	for index, found := u.waiting.next(0); found; index, found = u.waiting.next(index + 1) {
+		if d.committing >= maxCommitting {
+			return
+		}
+		if d.examined >= maxExamined {
+			d.passIsPartial = true
+			d.changed = true
+			return
+		}
+		t := u.flow.Task(u.task(index))
+		h := last
+		if h == nil || !d.isStillBest(now, u, index, h) {
+			h = d.pickHost(now, u, index, "")
+		}
 		if h == nil {
 			u.lacksWorkers = true
-			break
+			return
 		}
-		t := u.flow.Task(u.task(index))
 		d.proposeStart(now, u, index, h, t.Attempt+1)
+		last = nil
+		// For a task without earlier attempts the choice depends on the step alone.
+		if t.Attempt == 0 && !u.step.Backfill {
+			last = h
+		}
 	}
-	u.updateWaiting()
+}
+
+// isStillBest reports whether the worker that was the best one for another task of the
+// step is so for this task too: that task made its score better. It does not hold for
+// backfill, whose tasks avoid each other.
+func (d *Dispatcher) isStillBest(now modeler.ClockReading, u *unit, index modeler.TaskIndex, h *host) bool {
+	return u.failedOn[index] != h.worker.ID && h.runs[u.task(index)] == nil && d.canRun(now, u, h, neededBy(u.step))
 }
 
 // placeGang places all tasks of a gang or none.
 func (d *Dispatcher) placeGang(now modeler.ClockReading, u *unit) bool {
-	if len(u.waiting) < u.step.Count {
+	if u.waiting.len() < u.step.Count {
 		return false
 	}
 	if u.step.SameRack {
@@ -102,40 +143,64 @@
 // placeAll places all waiting tasks of a step or none. It uses workers of only
 // one rack unless rack is empty.
 func (d *Dispatcher) placeAll(now modeler.ClockReading, u *unit, rack modeler.RackName) bool {
+	if !d.hasRoomForAll(now, u, rack) {
+		return false
+	}
 	var attempt modeler.Attempt
 	for _, t := range u.flow.StepTasks(u.key) {
 		attempt = max(attempt, t.Attempt)
 	}
 	var made []*run
-	for _, index := range slices.Clone(u.waiting) {
-		h := d.pickHost(now, u, index, rack)
+	var last *host
+	for index, found := u.waiting.next(0); found; index, found = u.waiting.next(index + 1) {
+		h := last
+		if h == nil || !d.isStillBest(now, u, index, h) {
+			h = d.pickHost(now, u, index, rack)
+		}
 		if h == nil {
 			for _, r := range made {
 				d.removeRun(r)
 			}
 			d.out.Starts = d.out.Starts[:len(d.out.Starts)-len(made)]
-			u.updateWaiting()
 			return false
 		}
 		made = append(made, d.proposeStart(now, u, index, h, attempt+1))
+		last = nil
+		if attempt == 0 {
+			last = h
+		}
 	}
-	u.updateWaiting()
 	d.logPlaced(now, u, d.out.Starts[len(d.out.Starts)-len(made):])
 	return true
 }
 
+// hasRoomForAll reports whether the workers of a rack, or all if rack is empty, have
+// room for all waiting tasks of a step. It saves the search for a gang that is too
+// wide for what is free.
+func (d *Dispatcher) hasRoomForAll(now modeler.ClockReading, u *unit, rack modeler.RackName) bool {
+	need := neededBy(u.step)
+	missing := u.waiting.len()
+	d.forEachCandidate(now, u, func(h *host) {
+		if missing > 0 && (rack == "" || h.worker.Rack == rack) && d.canRun(now, u, h, need) {
+			missing -= d.taskCapacity(now, u, h, need)
+		}
+	})
+	return missing <= 0
+}
+
 // logPlaced writes one log line for tasks of a step that were placed together.
 func (d *Dispatcher) logPlaced(now modeler.ClockReading, u *unit, starts []modeler.FlowStart) {
 	if len(starts) == 0 {
 		return
 	}
-	workers := make([]modeler.WorkerID, 0, len(starts))
-	for _, s := range starts {
+	shown := starts[:min(len(starts), maxLoggedWorkers)]
+	workers := make([]modeler.WorkerID, 0, len(shown))
+	for _, s := range shown {
 		workers = append(workers, s.Worker)
 	}
 	d.settings.Log("tasks placed", "request", u.key.Flow, "occurrence", u.key.Occurrence, "step", u.key.Step,
-		"first", starts[0].Task.Index, "attempt", starts[0].Attempt, "workers", workers,
-		"waited", now.Sub(u.readyAt).String(), "left", len(u.waiting))
+		"first", starts[0].Task.Index, "attempt", starts[0].Attempt, "count", len(starts), "workers", workers,
+		"waited", now.Sub(u.readyAt).String(), "left", u.waiting.len())
 }
 
 // proposeStart proposes an attempt and reserves its resources.
@@ -161,9 +226,6 @@
 		r := d.runs[s.Task]
 		if r != nil && r.attempt == s.Attempt && r.phase == committing {
 			d.removeRun(r)
-			if r.unit != nil {
-				r.unit.updateWaiting()
-			}
 		}
 	}
 }
@@ -186,19 +248,27 @@
 			lowest = score
 		}
 	}
+	d.forEachCandidate(now, u, consider)
+	return best
+}
+
+// forEachCandidate calls visit for the workers that the outside policy allows for the
+// step, and counts them as examined.
+func (d *Dispatcher) forEachCandidate(now modeler.ClockReading, u *unit, visit func(*host)) {
 	if u.policy.Permits == nil {
+		d.examined += len(d.hostList)
 		for _, h := range d.hostList {
-			consider(h)
+			visit(h)
 		}
-		return best
+		return
 	}
+	d.examined += len(u.permits)
 	for id, p := range u.permits {
 		h := d.hosts[id]
 		if h != nil && p.expiresAt > now && p.generation == h.worker.Generation {
-			consider(h)
+			visit(h)
 		}
 	}
-	return best
 }
 
 // canRun reports whether a task of the step can run on the worker now.
--- a/dispatcher/preempt.go
+++ b/dispatcher/preempt.go
@@ -103,7 +103,7 @@
 // step to a permit request that names too few others. Each call begins with
 // another worker, so that different requests name different workers.
 func (d *Dispatcher) addPreemptableWorkers(now modeler.ClockReading, u *unit, need modeler.Resources, names []modeler.WorkerID) []modeler.WorkerID {
-	wanted := int(permitHeadroom * float64(len(u.waiting)))
+	wanted := int(permitHeadroom * float64(u.waiting.len()))
 	for _, p := range u.permits {
 		if p.expiresAt > now {
 			wanted--
--- a/dispatcher/prospect.go
+++ b/dispatcher/prospect.go
@@ -67,7 +67,7 @@
 	}
 	changed := false
 	for _, u := range d.sortedUnits {
-		if len(u.waiting) == 0 || u.step.LongRunning || u.step.Backfill {
+		if u.waiting.len() == 0 || u.step.LongRunning || u.step.Backfill {
 			continue
 		}
 		if d.uses(Runtimes) && u.learned != d.queue(u.flow.Spec.Queue).learned {
--- a/dispatcher/reserve.go
+++ b/dispatcher/reserve.go
@@ -153,7 +153,7 @@
 	}
 	if stopped > 0 {
 		d.settings.Log("tasks preempted", "request", u.key.Flow, "occurrence", u.key.Occurrence, "step", u.key.Step,
-			"waiting", len(u.waiting), "stopped", stopped, "waited", now.Sub(u.readyAt).String())
+			"waiting", u.waiting.len(), "stopped", stopped, "waited", now.Sub(u.readyAt).String())
 	}
 }
 
@@ -166,7 +166,7 @@
 	for _, h := range d.permittedHosts(now, u) {
 		openings = append(openings, d.openingsOn(now, u, h, earlier)...)
 	}
-	if u.step.Gang && len(openings) < len(u.waiting) {
+	if u.step.Gang && len(openings) < u.waiting.len() {
 		return nil
 	}
 	slices.SortFunc(openings, func(a, b opening) int {
@@ -174,7 +174,7 @@
 	})
 	var plan []opening
 	var last modeler.ClockReading
-	for _, o := range openings[:min(len(openings), len(u.waiting))] {
+	for _, o := range openings[:min(len(openings), u.waiting.len())] {
 		last = max(last, o.from)
 		// An opening covers those before it on the same worker.
 		at := slices.IndexFunc(plan, func(other opening) bool { return other.host == o.host })
@@ -211,7 +211,7 @@
 		return
 	}
 	d.settings.Log("room reserved", "request", u.key.Flow, "occurrence", u.key.Occurrence, "step", u.key.Step,
-		"waiting", len(u.waiting), "waited", now.Sub(u.readyAt).String(), "workers", workers, "within", within.String(),
+		"waiting", u.waiting.len(), "waited", now.Sub(u.readyAt).String(), "workers", workers, "within", within.String(),
 		"processors", u.step.Need.Processors, "memory", u.step.Need.Memory, "accelerators", u.step.Need.Accelerators)
 }
 
@@ -267,7 +267,7 @@
 			room = room.Sub(v.room)
 		}
 	}
-	most := len(u.waiting)
+	most := u.waiting.len()
 	if u.step.PerWorker > 0 {
 		most = min(most, u.step.PerWorker-u.runsOn[h.worker.ID])
 	}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -135,7 +135,8 @@
 	h.used = h.used.Add(r.need)
 	d.runs[r.task] = r
 	if r.unit != nil {
-		r.unit.runsOn[h.worker.ID]++
+		r.unit.countRun(h, 1)
+		r.unit.updateWaiting(r.task.Index)
 	}
 	return r
 }
@@ -148,8 +149,6 @@
 	r := d.addRun(now, start, h, p)
 	if other != nil {
 		d.runs[task] = other
-	} else if r.unit != nil {
-		r.unit.updateWaiting()
 	}
 	return r
 }
@@ -171,7 +170,7 @@
 		delete(r.host.runs, r.task)
 		r.host.used = r.host.used.Sub(r.need)
 		if r.unit != nil {
-			r.unit.runsOn[r.host.worker.ID]--
+			r.unit.countRun(r.host, -1)
 		}
 	}
 	if d.runs[r.task] == r {
@@ -182,9 +181,9 @@
 	}
 	if r.phase == committing {
 		d.committing--
-		if r.unit != nil {
-			r.unit.updateWaiting()
-		}
+	}
+	if r.unit != nil {
+		r.unit.updateWaiting(r.task.Index)
 	}
 	d.changed = true
 }
@@ -213,9 +212,6 @@
 	if !d.endNeedsNoEntry(r, kind) {
 		d.proposeEnd(r, kind, checkpoint)
 	}
-	if (r.orphaned || r.abandoned) && r.unit != nil {
-		r.unit.updateWaiting()
-	}
 }
 
 // endNeedsNoEntry reports whether the end of the attempt needs no log entry
@@ -230,6 +226,9 @@
 	r.phase = ending
 	if d.runs[r.task] == nil {
 		d.runs[r.task] = r
+		if r.unit != nil {
+			r.unit.updateWaiting(r.task.Index)
+		}
 	} else {
 		d.proposedEnds[attemptID{r.task, r.attempt}] = r
 	}
@@ -263,6 +262,9 @@
 func (d *Dispatcher) forgetEndedRun(r *run) {
 	if d.runs[r.task] == r {
 		delete(d.runs, r.task)
+		if r.unit != nil {
+			r.unit.updateWaiting(r.task.Index)
+		}
 	}
 	// Two ends of one attempt may be proposed at the same time: that it was
 	// abandoned, and how it really ended.
@@ -296,16 +298,13 @@
 	}
 	d.committing--
 	r.phase = starting
-	if r.unit != nil {
-		r.unit.updateWaiting()
-	}
 	switch h := r.host; {
 	case r.supersededBy != nil:
 		d.heldBack[r.task] = r.supersededBy
 		d.endRun(r, modeler.EndUnstarted, "")
 	case h.gone || d.hosts[h.worker.ID] != h || h.worker.Leaving:
 		d.endRun(r, modeler.EndUnstarted, "")
-	case r.unit == nil || !r.unit.flow.IsPlaced(r.task):
+	case r.unit == nil || !r.unit.flow.IsPlaced(r.task) || r.unit.step.Gang && r.attempt <= r.unit.brokenAttempt:
 		d.endRun(r, modeler.EndUnstarted, "")
 	default:
 		d.sendStart(now, r)
@@ -531,12 +530,15 @@
 		return
 	}
 	if e.Kind == modeler.EndFailed && r != nil {
+		if u.failedOn == nil {
+			u.failedOn = make(map[modeler.TaskIndex]modeler.WorkerID)
+		}
 		u.failedOn[e.Task.Index] = r.host.worker.ID
 	}
 	if e.Kind == modeler.EndDone && r != nil && r.startedAt != 0 && !r.predatesLeader {
 		d.learnRuntime(u, r, now.Sub(r.startedAt))
 	}
-	u.updateWaiting()
+	u.updateWaiting(e.Task.Index)
 	if e.Kind == modeler.EndDone {
 		d.markFollowersReady(now, u)
 		return
@@ -548,6 +550,11 @@
 
 // stopGang stops all members of a gang that can't be complete any more.
 func (d *Dispatcher) stopGang(now modeler.ClockReading, u *unit, attempt modeler.Attempt, why string) {
+	if attempt <= u.brokenAttempt {
+		// Its members were stopped, or were not sent yet and will not be.
+		return
+	}
+	u.brokenAttempt = attempt
 	for i := range u.step.Count {
 		r := d.runs[u.task(modeler.TaskIndex(i))]
 		if r != nil && r.attempt == attempt && !r.stopping {
@@ -600,9 +607,6 @@
 	start := modeler.FlowStart{Task: task, Attempt: t.Attempt, Worker: t.Worker, Generation: t.Generation}
 	r := d.addRun(now, start, h, restored)
 	r.checkpoint = t.Checkpoint
-	if r.unit != nil {
-		r.unit.updateWaiting()
-	}
 	if t.Generation != h.worker.Generation || f.IsOver() || t.Phase == sequencer.TaskDone {
 		d.stopRun(now, r, "its flow is over or its worker has restarted")
 	}
--- a/dispatcher/stats.go
+++ b/dispatcher/stats.go
@@ -74,10 +74,10 @@
 	slices.SortFunc(s.Idle, func(a, b IdleWorker) int { return cmp.Compare(a.Worker, b.Worker) })
 	s.Idle = s.Idle[:min(len(s.Idle), maxStatsEntries)]
 	for _, u := range d.sortedUnits {
-		if !u.ready || len(u.waiting) == 0 {
+		if !u.ready || u.waiting.len() == 0 {
 			continue
 		}
-		s.Waiting += len(u.waiting)
+		s.Waiting += u.waiting.len()
 		if len(s.Steps) < maxStatsEntries {
 			var reserved []modeler.WorkerID
 			for _, v := range u.reservations {
@@ -85,7 +85,7 @@
 			}
 			s.Steps = append(s.Steps, WaitingStep{
 				Request: u.key.Flow, Occurrence: u.key.Occurrence, Step: u.key.Step, Queue: u.flow.Spec.Queue,
-				Tasks: len(u.waiting), WaitingFor: now.Sub(u.readyAt).String(),
+				Tasks: u.waiting.len(), WaitingFor: now.Sub(u.readyAt).String(),
 				Permitted: len(u.permits), Denied: len(u.denied), Asking: u.isAsking,
 				Reserved: reserved, Need: neededBy(u.step),
 			})
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -22,14 +22,16 @@
 	// isReadySoon means that the unit is likely to be ready before a permit
 	// requested now expires.
 	isReadySoon bool
-	waiting     []modeler.TaskIndex
+	// waiting holds the tasks that wait for a worker.
+	waiting taskSet
 	// latestStart is when the step has to start for its flow to meet its objective.
 	latestStart modeler.Timestamp
 	// timeliness tells whether a start now would still be in time, and deadlines
 	// when that changes.
 	timeliness timeliness
 	deadlines  deadlines
-	// failedOn holds the worker on which each task last failed.
+	// failedOn holds the worker on which each task last failed; it and the other maps
+	// of a unit are nil until they are needed.
 	failedOn map[modeler.TaskIndex]modeler.WorkerID
 	// lacksWorkers means that the last placement left tasks without a worker. The
 	// next one is due at retryAt.
@@ -52,6 +54,10 @@
 	isAsking     bool
 	nextAskAt    modeler.ClockReading
 	readyAt      modeler.ClockReading
+	// brokenAttempt is the newest attempt of a gang that can't be complete any more.
+	brokenAttempt modeler.Attempt
+	// placeRound is the round of placement in which the unit was last tried.
+	placeRound uint64
 	// doneTasks counts the completed tasks of the step, and doneRuntime is the mean
 	// logarithm of their run times.
 	doneTasks   int
@@ -85,30 +91,21 @@
 				flow:       f,
 				step:       &f.Spec.Steps[s],
 				policy:     &f.Spec.Policy,
-				failedOn:   make(map[modeler.TaskIndex]modeler.WorkerID),
-				permits:    make(map[modeler.WorkerID]permit),
-				denied:     make(map[modeler.WorkerID]bool),
-				runsOn:     make(map[modeler.WorkerID]int),
+				waiting:    newTaskSet(f.Spec.Steps[s].Count),
 				planStart:  len(d.units),
 			}
-			u.updateWaiting()
-			for i := range u.step.Count {
-				if r := d.runs[u.task(modeler.TaskIndex(i))]; r != nil && r.phase != ending {
-					r.unit = u
-					u.runsOn[r.host.worker.ID]++
-				}
+			if !d.restoring {
+				u.takeRuns()
 			}
+			u.recomputeWaiting()
 			d.units[key] = u
 			units = append(units, u)
 		}
 	}
 	d.flowUnits[id] = units
 	d.setDeadlines(units)
-	for _, u := range units {
-		at, _ := slices.BinarySearchFunc(d.sortedUnits, u, compareUnits)
-		d.sortedUnits = slices.Insert(d.sortedUnits, at, u)
-	}
-	d.markReadySteps(now, id)
+	d.insertUnits(units)
+	d.markReadySteps(now, units)
 	d.settings.Log("flow added to the scheduler", "request", id, "queue", f.Spec.Queue, "steps", len(f.Spec.Steps), "tasks", len(f.Tasks), "priority", f.Spec.Policy.Priority,
 		"age", time.Duration(d.stamp-f.ArrivedAt)*time.Millisecond, "ticket", d.state.Layout().Number, "term", d.term)
 }
@@ -176,9 +173,6 @@
 	for _, u := range d.flowUnits[id] {
 		d.clearAsked(u)
 		delete(d.units, u.key)
-		if at := slices.Index(d.sortedUnits, u); at >= 0 {
-			d.sortedUnits = slices.Delete(d.sortedUnits, at, at+1)
-		}
 		u.ready = false
 		d.releaseReservations(u)
 		for i := range u.step.Count {
@@ -186,43 +180,106 @@
 		}
 		d.stopAbandoned(now, u)
 	}
+	if len(d.flowUnits[id]) > 0 {
+		d.sortedUnits = slices.DeleteFunc(d.sortedUnits, func(u *unit) bool { return u.key.Flow == id })
+	}
+	units := d.flowUnits[id]
 	delete(d.flowUnits, id)
 	if !found || f.OccupiedTasks == 0 {
 		return
 	}
-	for task, r := range d.runs {
-		if task.Flow == id {
-			r.unit = nil
-			// The members of a completed gang end on their own, and stopCopies
-			// stops the other attempts of completed tasks.
-			if f.State != modeler.FlowCompleted {
-				d.stopRun(now, r, "its flow is over")
-			}
+	for _, r := range d.runsOf(id, units) {
+		r.unit = nil
+		// The members of a completed gang end on their own, and stopCopies stops the
+		// other attempts of completed tasks.
+		if f.State != modeler.FlowCompleted {
+			d.stopRun(now, r, "its flow is over")
 		}
 	}
 }
 
-// updateWaiting recomputes which tasks wait for a worker.
-func (u *unit) updateWaiting() {
-	u.waiting = u.waiting[:0]
-	if u.flow.IsOver() {
-		return
+// runsOf returns the newest attempts of a flow's tasks. It visits the tasks of the flow
+// or all attempts, whichever are fewer.
+func (d *Dispatcher) runsOf(id modeler.FlowID, units []*unit) []*run {
+	tasks := 0
+	for _, u := range units {
+		tasks += u.step.Count
 	}
-	for i, t := range u.flow.StepTasks(u.key) {
-		if t.Phase != sequencer.TaskWaiting || t.Worker != "" {
-			continue
+	var out []*run
+	if len(units) == 0 || tasks > len(d.runs) {
+		for task, r := range d.runs {
+			if task.Flow == id {
+				out = append(out, r)
+			}
 		}
-		task := u.task(modeler.TaskIndex(i))
-		if u.dispatcher.runs[task] != nil {
-			continue
+		return out
+	}
+	for _, u := range units {
+		for i := range u.step.Count {
+			if r := d.runs[u.task(modeler.TaskIndex(i))]; r != nil {
+				out = append(out, r)
+			}
 		}
-		if u.dispatcher.heldBack[task] != nil {
-			continue
+	}
+	return out
+}
+
+// takeRuns takes over the attempts that were known before the unit.
+func (u *unit) takeRuns() {
+	for i := range u.step.Count {
+		if r := u.dispatcher.runs[u.task(modeler.TaskIndex(i))]; r != nil && r.phase != ending {
+			r.unit = u
+			u.countRun(r.host, 1)
 		}
-		u.waiting = append(u.waiting, modeler.TaskIndex(i))
 	}
 }
 
+// countRun adds to the number of the step's attempts on a worker.
+func (u *unit) countRun(h *host, n int) {
+	if u.runsOn == nil {
+		u.runsOn = make(map[modeler.WorkerID]int)
+	}
+	u.runsOn[h.worker.ID] += n
+	if u.runsOn[h.worker.ID] == 0 {
+		delete(u.runsOn, h.worker.ID)
+	}
+}
+
+// recomputeWaiting recomputes which tasks wait for a worker.
+func (u *unit) recomputeWaiting() {
+	if u.flow.IsOver() {
+		u.waiting.clear()
+		return
+	}
+	tasks := u.flow.StepTasks(u.key)
+	for i := range tasks {
+		u.waiting.set(modeler.TaskIndex(i), u.waits(modeler.TaskIndex(i), &tasks[i]))
+	}
+}
+
+// updateWaiting updates whether a task waits for a worker, after a change of its
+// state, of its newest attempt, or of what holds it back.
+func (u *unit) updateWaiting(i modeler.TaskIndex) {
+	if u.flow.IsOver() {
+		u.waiting.clear()
+		return
+	}
+	u.waiting.set(i, u.waits(i, u.flow.Task(u.task(i))))
+}
+
+// waits reports whether a task waits for a worker.
+func (u *unit) waits(i modeler.TaskIndex, t *sequencer.Task) bool {
+	if t.Phase != sequencer.TaskWaiting || t.Worker != "" {
+		return false
+	}
+	if u.dispatcher.restoring {
+		// The attempts that a new leader knows are those in the replicated state.
+		return true
+	}
+	task := u.task(i)
+	return u.dispatcher.runs[task] == nil && u.dispatcher.heldBack[task] == nil
+}
+
 func (u *unit) task(i modeler.TaskIndex) modeler.FlowTask {
 	return modeler.FlowTask{Flow: u.key.Flow, Occurrence: u.key.Occurrence, Step: u.key.Step, Index: i}
 }
@@ -233,13 +290,35 @@
 	if u.flow.IsOver() || !u.flow.StepDone(u.key) {
 		return
 	}
+	u.waiting.clear()
 	d.settings.Log("step done", "request", u.key.Flow, "occurrence", u.key.Occurrence, "step", u.key.Step, "took", now.Sub(u.readyAt).String())
-	d.markReadySteps(now, u.key.Flow)
+	steps := len(u.flow.Spec.Steps)
+	first := int(u.key.Occurrence) * steps
+	d.markReadySteps(now, d.flowUnits[u.key.Flow][first:first+steps])
 }
 
-// markReadySteps marks the steps of a flow that can start now.
-func (d *Dispatcher) markReadySteps(now modeler.ClockReading, id modeler.FlowID) {
-	for _, u := range d.flowUnits[id] {
+// insertUnits adds the units of one flow to sortedUnits.
+func (d *Dispatcher) insertUnits(units []*unit) {
+	if d.restoring || len(units) > maxInserted {
+		d.sortedUnits = append(d.sortedUnits, units...)
+		if !d.restoring {
+			slices.SortFunc(d.sortedUnits, compareUnits)
+		}
+		return
+	}
+	for _, u := range units {
+		at, _ := slices.BinarySearchFunc(d.sortedUnits, u, compareUnits)
+		d.sortedUnits = slices.Insert(d.sortedUnits, at, u)
+	}
+}
+
+// maxInserted is the number of units up to which they are inserted into sortedUnits
+// one by one; more are appended and sorted.
+const maxInserted = 32
+
+// markReadySteps marks the steps among units, all of one flow, that can start now.
+func (d *Dispatcher) markReadySteps(now modeler.ClockReading, units []*unit) {
+	for _, u := range units {
 		if u.ready {
 			continue
 		}
@@ -266,9 +345,9 @@
 // updateReadiness marks the scheduled steps that are due, and the steps that
 // request their permits ahead.
 func (d *Dispatcher) updateReadiness(now modeler.ClockReading) {
-	for id, units := range d.flowUnits {
+	for _, units := range d.flowUnits {
 		if units[0].flow.Spec.Occurrences > 0 {
-			d.markReadySteps(now, id)
+			d.markReadySteps(now, units)
 		}
 		for _, u := range units {
 			if !u.ready && u.policy.Permits != nil && d.uses(PermitsAhead) {
@@ -289,7 +368,7 @@
 		key := u.key
 		key.Step = earlier
 		before := d.units[key]
-		if before == nil || len(before.waiting) > 0 {
+		if before == nil || before.waiting.len() > 0 {
 			return false
 		}
 		for i, t := range u.flow.StepTasks(key) {
--- /dev/null
+++ b/sequencer/progress.go
@@ -0,0 +1,78 @@
+package sequencer
+
+import (
+	"slices"
+
+	"goldcreststack.example/goldcreststack/modeler"
+)
+
+// stepProgress summarizes the tasks of a step in one occurrence, so that the cost of
+// an end doesn't grow with the width of its step. It follows from the tasks and is
+// not part of snapshots.
+type stepProgress struct {
+	// open counts the tasks that are not done, and occupied those whose newest
+	// attempt may still run.
+	open     int
+	occupied int
+	// failed lists the failed attempts of a gang.
+	failed []modeler.Attempt
+}
+
+// progressOf returns the summary of a step.
+func (f *Flow) progressOf(key modeler.StepKey) *stepProgress {
+	return &f.progress[int(key.Occurrence)*len(f.Spec.Steps)+int(key.Step)]
+}
+
+// computeProgress computes the summaries of all steps from their tasks.
+func (f *Flow) computeProgress() {
+	f.progress = make([]stepProgress, f.Occurrences()*len(f.Spec.Steps))
+	for k := range f.Occurrences() {
+		for s := range f.Spec.Steps {
+			key := modeler.StepKey{Occurrence: modeler.Occurrence(k), Step: modeler.StepIndex(s)}
+			p := f.progressOf(key)
+			tasks := f.StepTasks(key)
+			for i := range tasks {
+				t := &tasks[i]
+				if t.Phase != TaskDone {
+					p.open++
+				}
+				if t.Worker != "" {
+					p.occupied++
+				}
+				if f.Spec.Steps[s].Gang {
+					p.failed = append(p.failed, t.FailedAttempts...)
+				}
+			}
+		}
+	}
+}
+
+// occupy records the worker on which the newest attempt of a task may run.
+func (f *Flow) occupy(t *Task, start modeler.FlowStart) {
+	t.Phase = TaskPlaced
+	t.Attempt = start.Attempt
+	t.Worker = start.Worker
+	t.Generation = start.Generation
+	f.OccupiedTasks++
+	f.progressOf(start.Task.StepKey()).occupied++
+}
+
+// vacate records that the newest attempt of a task doesn't run any more.
+func (f *Flow) vacate(t *Task, key modeler.StepKey) {
+	t.Worker = ""
+	t.Generation = 0
+	f.OccupiedTasks--
+	f.progressOf(key).occupied--
+}
+
+// complete records that a task is done.
+func (f *Flow) complete(t *Task, key modeler.StepKey) {
+	t.Phase = TaskDone
+	f.OpenTasks--
+	f.progressOf(key).open--
+}
+
+// gangHasFailed reports whether a failure of the gang's attempt is recorded.
+func (f *Flow) gangHasFailed(key modeler.StepKey, attempt modeler.Attempt) bool {
+	return slices.Contains(f.progressOf(key).failed, attempt)
+}
--- a/sequencer/sequencer.go
+++ b/sequencer/sequencer.go
@@ -64,6 +64,8 @@
 	// and tasksPerOccurrence the number of tasks of one occurrence.
 	stepOffset         []int
 	tasksPerOccurrence int
+	// progress summarizes the steps of all occurrences.
+	progress []stepProgress
 }
 
 // IsOver reports whether the flow has ended, so that none of its tasks may start
@@ -102,9 +104,7 @@
 }
 
 // StepDone reports whether all tasks of a step in one occurrence are done.
-func (f *Flow) StepDone(key modeler.StepKey) bool {
-	return !slices.ContainsFunc(f.StepTasks(key), func(t Task) bool { return t.Phase != TaskDone })
-}
+func (f *Flow) StepDone(key modeler.StepKey) bool { return f.progressOf(key).open == 0 }
 
 // computeOffsets sets stepOffset and tasksPerOccurrence.
 func (f *Flow) computeOffsets() {
@@ -286,6 +286,7 @@
 	f.computeOffsets()
 	f.OpenTasks = f.tasksPerOccurrence * f.Occurrences()
 	f.Tasks = make([]Task, f.OpenTasks)
+	f.computeProgress()
 	s.flows[spec.ID] = f
 	s.pending[spec.Queue]++
 	s.recordChange(Change{Kind: FlowAdded, Flow: spec.ID})
@@ -374,6 +375,7 @@
 	f.Spec.Steps = nil
 	f.Spec.Spec = ""
 	f.stepOffset = nil
+	f.progress = nil
 }
 
 // RecordDepartures removes workers that have left, and records their generation so that
@@ -431,11 +433,7 @@
 		if m, known := s.workers[start.Worker]; !known || m.Generation != start.Generation || m.Leaving {
 			continue
 		}
-		t.Phase = TaskPlaced
-		t.Attempt = start.Attempt
-		t.Worker = start.Worker
-		t.Generation = start.Generation
-		f.OccupiedTasks++
+		f.occupy(t, start)
 		s.setState(f, modeler.FlowRunning)
 		s.recordChange(Change{Kind: AttemptStarted, Flow: start.Task.Flow, Start: start})
 	}
@@ -463,9 +461,7 @@
 		s.endOlderAttempt(now, f, t, end)
 		return
 	}
-	t.Worker = ""
-	t.Generation = 0
-	f.OccupiedTasks--
+	f.vacate(t, end.Task.StepKey())
 	if t.Phase == TaskPlaced {
 		t.Phase = TaskWaiting
 		if !f.IsOver() {
@@ -520,7 +516,7 @@
 	if !f.Spec.Steps[task.Step].Gang {
 		return f.Task(task).Worker == ""
 	}
-	return !slices.ContainsFunc(f.StepTasks(task.StepKey()), func(t Task) bool { return t.Worker != "" })
+	return f.progressOf(task.StepKey()).occupied == 0
 }
 
 // endOlderAttempt records the end of an attempt that is not the newest one or
@@ -543,8 +539,7 @@
 	case end.Kind == modeler.EndDone && step.Gang:
 		s.completeGang(f, end)
 	case end.Kind == modeler.EndDone:
-		t.Phase = TaskDone
-		f.OpenTasks--
+		f.complete(t, end.Task.StepKey())
 	case end.Kind == modeler.EndFailed:
 		s.recordFailure(f, t, end)
 		if f.Spec.Policy.Attempts > 0 && s.countFailures(f, t, end) >= f.Spec.Policy.Attempts {
@@ -552,7 +547,8 @@
 			return
 		}
 	}
-	if end.Saved != "" {
+	// All members of a gang have the same checkpoint.
+	if end.Saved != "" && end.Saved != t.Checkpoint {
 		t.Checkpoint = end.Saved
 		if step.Gang {
 			tasks := f.StepTasks(end.Task.StepKey())
@@ -568,11 +564,16 @@
 
 // recordFailure records a failed attempt, once for all members of a gang.
 func (s *Sequencer) recordFailure(f *Flow, t *Task, end modeler.FlowEnd) {
-	alreadyCounted := func(member Task) bool { return slices.Contains(member.FailedAttempts, end.Attempt) }
-	if alreadyCounted(*t) || f.Spec.Steps[end.Task.Step].Gang && slices.ContainsFunc(f.StepTasks(end.Task.StepKey()), alreadyCounted) {
+	key := end.Task.StepKey()
+	isGang := f.Spec.Steps[key.Step].Gang
+	if slices.Contains(t.FailedAttempts, end.Attempt) || isGang && f.gangHasFailed(key, end.Attempt) {
 		return
 	}
 	t.FailedAttempts = append(t.FailedAttempts, end.Attempt)
+	if isGang {
+		p := f.progressOf(key)
+		p.failed = append(p.failed, end.Attempt)
+	}
 }
 
 // countFailures counts the failed attempts of a task or, for a gang, of all its
@@ -581,11 +582,7 @@
 	if !f.Spec.Steps[end.Task.Step].Gang {
 		return len(t.FailedAttempts)
 	}
-	sum := 0
-	for _, member := range f.StepTasks(end.Task.StepKey()) {
-		sum += len(member.FailedAttempts)
-	}
-	return sum
+	return len(f.progressOf(end.Task.StepKey()).failed)
 }
 
 // completeGang marks all members of a gang as done, since one member that is
@@ -595,8 +592,7 @@
 	tasks := f.StepTasks(end.Task.StepKey())
 	for i := range tasks {
 		if tasks[i].Phase != TaskDone {
-			tasks[i].Phase = TaskDone
-			f.OpenTasks--
+			f.complete(&tasks[i], end.Task.StepKey())
 		}
 	}
 }
--- a/sequencer/snapshot.go
+++ b/sequencer/snapshot.go
@@ -22,6 +22,7 @@
 	for _, f := range s.flows {
 		c := *f
 		c.Tasks = slices.Clone(f.Tasks)
+		c.progress = nil
 		out.Flows = append(out.Flows, c)
 	}
 	for _, m := range s.workers {
@@ -48,6 +49,7 @@
 		f := &saved.Flows[i]
 		if len(f.Spec.Steps) > 0 {
 			f.computeOffsets()
+			f.computeProgress()
 		}
 		s.flows[f.Spec.ID] = f
 		if f.State == modeler.FlowPending {
