dispatcher: a list that may hold only a part of a worker's ends is no evidence of absence

Cause: a worker lists 500 ends at a time. A new leader took the first list for complete: it stopped the restored attempts that the list didn't hold, the worker answered the stops, and those that the next 500 didn't hold either counted as never started (EndUnstarted) and were placed again.

Change: the platform's bound of one list is a setting of the dispatcher. A list that reaches it neither stops a restored attempt nor ends a stopped one; the first complete one does. The random schedules draw lists of 1 to 3 ends.

Related paths that conclude from a list: orphans, abandoned attempts and given-up starts go through the same function; a new generation and a departure end attempts whatever was listed, as before.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -20,6 +20,9 @@
 	// MaxTimeOverTarget is how long a serving task may exceed its latency target because of
 	// backfill beside it.
 	MaxTimeOverTarget time.Duration
+	// MaxListedEnds is the most ends that a worker lists in one answer; a list of as
+	// many may not be complete. 0 means that each answer lists all.
+	MaxListedEnds int
 	// Disabled switches decisions off.
 	Disabled map[Decision]bool
 	// Log writes one log line about a decision; it must not block.
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -110,6 +110,8 @@
 func randomFaults(t *testing.T, seed uint64, copies bool, eventsPerTick int) {
 	r := newRig(t, seed)
 	r.eventsPerTick = eventsPerTick
+	r.maxListedEnds = int(seed % 4)
+	r.electLeader()
 	r.permits = seed%3 == 0
 	r.addWorkers(6, 8)
 	r.expectFaults = true
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -54,7 +54,8 @@
 	maxAnnouncementAge = 6 * time.Second
 	// endsAwaitPeriod is how long after its leases have expired the leader waits
 	// for the list of a worker that still sends announcements. Tasks that were done
-	// there before the leases expired would otherwise run again.
+	// there before the leases expired would otherwise run again. It is also how long the
+	// leader waits for the next part of a list.
 	endsAwaitPeriod = 15 * time.Second
 	// quarantine is how long a worker gets no tasks after it failed tasks of
 	// several flows, or after tasks on it stalled or were slow.
@@ -91,8 +92,11 @@
 	clock   modeler.WorkerClock
 	clockAt modeler.ClockReading
 	// hasAnswered means that the worker has answered a renewal of this term. From
-	// then on it refuses orders of earlier leaders, and all its attempts are known.
-	hasAnswered    bool
+	// then on it refuses orders of earlier leaders, and all that it runs is known.
+	hasAnswered bool
+	// hasListedAll means that the worker has listed all its ends to this leader, in one
+	// answer or several.
+	hasListedAll   bool
 	renewalPending bool
 	// inRenewQueue means that the host is in Dispatcher.renewQueue.
 	inRenewQueue bool
@@ -108,6 +112,8 @@
 	// endsDeferred means that some listed ends were not processed, so that the
 	// worker lists them again.
 	endsDeferred bool
+	// endsRemain means that the last list of ends may not have been complete.
+	endsRemain bool
 	// pendingEnds counts the listed ends that are proposed but not committed.
 	pendingEnds int
 	used        modeler.Resources
@@ -521,7 +527,7 @@
 	d.reconcileLists(now, h, a)
 	h.renewAt = now
 	switch {
-	case h.pendingEnds > 0 || h.endsDeferred:
+	case h.pendingEnds > 0 || h.endsDeferred || h.endsRemain:
 		h.renewAt = now.Add(renewPause)
 	case len(h.runs) == 0:
 		h.renewAt = now.Add(idleRenewInterval)
@@ -560,6 +566,21 @@
 		seen[e.Task] = max(seen[e.Task], e.Attempt)
 		h.endsDeferred = h.endsDeferred || !d.reconcileEnd(now, h, e)
 	}
+	h.endsRemain = d.settings.MaxListedEnds > 0 && len(a.Ended) >= d.settings.MaxListedEnds
+	if h.endsRemain {
+		d.settings.Log("worker lists a part of its ends", "worker", h.worker.ID, "listed", len(a.Ended), "last", a.Ended[len(a.Ended)-1].Number, "attempts", len(h.runs))
+	} else {
+		d.endUnlisted(now, h, a.Clock, seen)
+	}
+	d.throttleBackfill(now, h)
+}
+
+// endUnlisted handles the attempts that the complete lists of a worker, made at the
+// given clock, don't hold: seen has the newest attempt of each listed task. An attempt
+// that an incomplete list does not hold may have ended, also as done.
+func (d *Dispatcher) endUnlisted(now modeler.ClockReading, h *host, clock modeler.WorkerClock, seen map[modeler.FlowTask]modeler.Attempt) {
+	first := !h.hasListedAll
+	h.hasListedAll = true
 	for task, r := range h.runs {
 		if r.phase == committing || seen[task] >= r.attempt {
 			continue
@@ -568,13 +589,12 @@
 		case r.phase == restored && first:
 			// The attempt was never started, or its start is still in flight.
 			d.stopRun(now, r, "not listed by the worker")
-		case r.stopAckClock > 0 && a.Clock > r.stopAckClock:
+		case r.stopAckClock > 0 && clock > r.stopAckClock:
 			// The worker answered a stop before it made this list, so the attempt
 			// can no longer begin.
 			d.endRun(r, modeler.EndUnstarted, "")
 		}
 	}
-	d.throttleBackfill(now, h)
 }
 
 func (d *Dispatcher) reconcileRunning(now modeler.ClockReading, h *host, e *modeler.RunningAttempt) {
@@ -739,6 +759,9 @@
 // lease can still be valid, and no list of their ends is expected.
 func (d *Dispatcher) leasesExpired(now modeler.ClockReading, h *host) bool {
 	heard, end := d.heardBy(now), d.leasesExpireAt(h)
+	if h.endsRemain && heard.Sub(h.heardAt) < endsAwaitPeriod {
+		return false
+	}
 	return heard >= end && (heard.Sub(h.announcedAt) > maxAnnouncementAge || heard >= end.Add(endsAwaitPeriod))
 }
 
--- a/dispatcher/rig_test.go
+++ b/dispatcher/rig_test.go
@@ -113,10 +113,12 @@
 	workers    map[modeler.WorkerID]*worker
 	scheduled  []scheduledEvent
 	faultRates faultRates
-	permits    bool
-	allowed    func(unit modeler.StepKey, id modeler.WorkerID) bool
-	fails      func(task modeler.FlowTask, attempt modeler.Attempt) bool
-	paused     bool
+	// maxListedEnds is the most ends that a worker lists in one answer; 0 means all.
+	maxListedEnds int
+	permits       bool
+	allowed       func(unit modeler.StepKey, id modeler.WorkerID) bool
+	fails         func(task modeler.FlowTask, attempt modeler.Attempt) bool
+	paused        bool
 	// lateOrdersSurviveRestart lets a new generation of a worker carry out late
 	// orders that were sent to the previous one. Random schedules leave it unset: a
 	// restarted worker knows nothing of its previous generation, so nothing could
@@ -190,7 +192,7 @@
 	r.inbox = nil
 	r.state.Changes()
 	r.leader = dispatcher.New(r.now, r.stamp(), r.term, r.state, dispatcher.Settings{
-		MaxLease: lease, MaxStopTime: stopTime, GangTimeout: 3 * time.Second, MaxTimeOverTarget: 4 * time.Second,
+		MaxLease: lease, MaxStopTime: stopTime, GangTimeout: 3 * time.Second, MaxTimeOverTarget: 4 * time.Second, MaxListedEnds: r.maxListedEnds,
 		Log: func(event string, pairs ...any) {
 			if testing.Verbose() {
 				r.t.Log(time.Duration(r.now), event, fmt.Sprint(pairs...))
@@ -479,6 +481,9 @@
 			return true
 		})
 		a.Ended = slices.Clone(w.ended)
+		if r.maxListedEnds > 0 {
+			a.Ended = a.Ended[:min(len(a.Ended), r.maxListedEnds)]
+		}
 		for _, task := range w.sortedTasks() {
 			j := w.running[task]
 			percent := int(100 * j.done / max(j.work, 1))
