dispatcher: quarantine leaves no step without workers, and tasks that last end it

Cause: a quarantined worker was excluded for up to 20 s, whatever else a step could use, and the bound of a third was counted over all workers, not over those that a step may use. A worker that was probed got one task at a time until an end as done, which a task that lasts never brings.

Evidence: TestTasksThatLastReturnAfterAllTheirWorkersFailed fails on the old code in each of the 16 variants (1, 2, 3 and 8 workers, errors and hangs, 1 and 4 bursts) in which the leader stays.

Change (dispatcher/quarantine.go): a step that finds no other worker, or has waited 1 s for room, may probe quarantined workers: one task or gang at a time, 1 s after the last failure there, 3 s with a task that may fail only once more. An attempt that was started after the failure and has been at work for 1 s, or is done, ends the quarantine and the probing. Backfill doesn't probe, since it may be throttled to a standstill. The bound counts the workers of the service, and holds while something on the service works; when the last worker of a service is quarantined, one line says so. A slow task is not moved from a quarantined worker if there is no other. The slow tasks of a list are judged once (before: once for each, over all of them).

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -68,6 +68,7 @@
 	abandoned    map[modeler.FlowTask][]*run
 	proposedEnds map[attemptID]*run
 	queues       map[modeler.QueueID]*queueStats
+	services     map[modeler.ServiceName]*serviceHealth
 	// slowdownRange covers the queues of all flows seen so far.
 	slowdownRange slowdownRange
 	out           Output
@@ -128,6 +129,7 @@
 		abandoned:    make(map[modeler.FlowTask][]*run),
 		proposedEnds: make(map[attemptID]*run),
 		queues:       make(map[modeler.QueueID]*queueStats),
+		services:     make(map[modeler.ServiceName]*serviceHealth),
 		changed:      true,
 		senders:      1,
 		heldBack:     make(map[modeler.FlowTask]*host),
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -57,18 +57,6 @@
 	// there before the leases expired would otherwise run again. It is also how long the
 	// leader waits for the next part of a list.
 	endsAwaitPeriod = 15 * time.Second
-	// quarantine is how long a worker gets no tasks after it failed tasks of
-	// several flows, or after tasks on it stalled or were slow.
-	quarantine = 5 * time.Second
-	// maxQuarantine bounds the quarantine of a worker that keeps failing.
-	maxQuarantine = 20 * time.Second
-	// failuresToQuarantine is the number of failures in a row, each of another flow
-	// than the one before, after which a worker is quarantined. It is above 1
-	// because one task in 20 fails on its own.
-	failuresToQuarantine = 2
-	// quarantineDivisor bounds the quarantined workers to one in quarantineDivisor.
-	// Beyond that the tasks are more likely to be at fault.
-	quarantineDivisor = 3
 	// lateStartPeriod is how long a start without an answer may still be delivered.
 	lateStartPeriod = 30 * time.Second
 	// departureRetryInterval is the time between two attempts to record that a
@@ -134,17 +122,7 @@
 	leaveAt modeler.ClockReading
 	// departureSentAt is when the worker was last listed as departed, if it is gone.
 	departureSentAt modeler.ClockReading
-	// failureStreak counts the failures in a row that were each of another flow
-	// than the one before, which is lastFailedFlow.
-	failureStreak  int
-	lastFailedFlow modeler.FlowID
-	// quarantine is when the worker's quarantine ends, and quarantinePeriod how
-	// long it lasts.
-	quarantine       modeler.ClockReading
-	quarantinePeriod time.Duration
-	// probing means that after a quarantine the worker gets only one task at a
-	// time, to show whether it has recovered.
-	probing bool
+	health
 	// unansweredStarts holds the times at which starts were found to have no
 	// answer. A new generation under the same id could still carry them out.
 	unansweredStarts map[attemptID]modeler.ClockReading
@@ -156,10 +134,10 @@
 	// and slowedDown whether that task was faster before.
 	slowSeenAt map[modeler.FlowTask]modeler.ClockReading
 	slowedDown map[modeler.FlowTask]bool
+	// slowRuns holds the attempts that are slow by the worker's last list.
+	slowRuns []slowRun
 }
 
-func (h *host) isQuarantined(now modeler.ClockReading) bool { return now < h.quarantine }
-
 // free returns the worker's unused resources.
 func (h *host) free() modeler.Resources { return h.worker.Capacity.Sub(h.used) }
 
@@ -371,11 +349,27 @@
 		held.Capacity == m.Capacity && (held.Leaving || !m.Leaving)
 }
 
-// usable reports whether the worker may get tasks now.
-func (d *Dispatcher) usable(now modeler.ClockReading, h *host) bool { return d.unusable(now, h) == "" }
+// usableBy reports whether the worker may get a task of the step now.
+func (d *Dispatcher) usableBy(now modeler.ClockReading, u *unit, h *host) bool {
+	return d.outOfService(now, h) == "" && d.mayPlace(now, u, h)
+}
 
-// unusable returns the reason why the worker gets no tasks now, or "".
+// unusable returns the reason why the worker gets no tasks now, or only some, or "".
 func (d *Dispatcher) unusable(now modeler.ClockReading, h *host) string {
+	switch reason := d.outOfService(now, h); {
+	case reason != "":
+		return reason
+	case h.isQuarantined(now):
+		return "it is distrusted"
+	case h.probing && h.probes > 0:
+		return "one task shows whether it has recovered"
+	default:
+		return ""
+	}
+}
+
+// outOfService returns the reason why the worker gets no tasks of any step now, or "".
+func (d *Dispatcher) outOfService(now modeler.ClockReading, h *host) string {
 	switch {
 	case h.gone:
 		return "it has ended"
@@ -389,10 +383,6 @@
 		return "a start had to be sent again"
 	case d.heardBy(now).Sub(h.announcedAt) > maxAnnouncementAge:
 		return "its announcements are missing"
-	case h.isQuarantined(now):
-		return "it is distrusted"
-	case h.probing && len(h.runs) > 0:
-		return "one task shows whether it has recovered"
 	default:
 		return ""
 	}
@@ -550,6 +540,7 @@
 func (d *Dispatcher) reconcileLists(now modeler.ClockReading, h *host, a modeler.OrderAnswer) {
 	first := !h.hasAnswered
 	h.hasAnswered = true
+	h.slowRuns = h.slowRuns[:0]
 	if first {
 		// An earlier leader may have granted a lease of this length.
 		h.leaseLimit = a.Clock.Add(d.settings.MaxLease)
@@ -560,6 +551,7 @@
 		seen[e.Task] = max(seen[e.Task], e.Attempt)
 		d.reconcileRunning(now, h, e)
 	}
+	d.handleSlowRuns(now, h)
 	h.endsDeferred = false
 	for i := range a.Ended {
 		e := &a.Ended[i]
@@ -628,6 +620,7 @@
 	}
 	d.reinstateAbandoned(r)
 	d.checkProgress(now, h, r)
+	d.observeWork(now, h, r)
 }
 
 // reconcileEnd proposes a listed end that was not proposed before. It returns
@@ -706,44 +699,6 @@
 	}
 }
 
-// recordOutcome updates the worker's failure count after an attempt has ended
-// there.
-func (d *Dispatcher) recordOutcome(now modeler.ClockReading, h *host, r *run, kind modeler.EndKind) {
-	switch kind {
-	case modeler.EndDone:
-		h.failureStreak = 0
-		h.quarantinePeriod = 0
-		h.probing = false
-	case modeler.EndFailed:
-		if h.lastFailedFlow != r.task.Flow {
-			h.failureStreak++
-		}
-		h.lastFailedFlow = r.task.Flow
-		if h.failureStreak >= failuresToQuarantine || h.probing {
-			d.quarantineHost(now, h, "it fails tasks of several flows")
-		}
-	}
-}
-
-func (d *Dispatcher) quarantineHost(now modeler.ClockReading, h *host, why string) {
-	if h.isQuarantined(now) || !d.uses(Quarantine) {
-		return
-	}
-	quarantined := 0
-	for _, other := range d.hostList {
-		if other.isQuarantined(now) {
-			quarantined++
-		}
-	}
-	if quarantined*quarantineDivisor >= len(d.hosts) {
-		return
-	}
-	h.quarantinePeriod = min(max(2*h.quarantinePeriod, quarantine), maxQuarantine)
-	h.quarantine = now.Add(h.quarantinePeriod)
-	h.probing = true
-	d.settings.Log("worker quarantined", "worker", h.worker.ID, "reason", why, "for", h.quarantinePeriod.String())
-}
-
 // countSentRuns counts the attempts whose start may have reached the worker.
 func (h *host) countSentRuns() int {
 	n := 0
--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -169,7 +169,7 @@
 // canAsk reports whether a permit request for the step may name the worker.
 func (d *Dispatcher) canAsk(now modeler.ClockReading, u *unit, h *host) bool {
 	id := h.worker.ID
-	if u.denied[id] || h.worker.Service != u.policy.Service || !d.usable(now, h) {
+	if u.denied[id] || !u.suits(h) || !d.usableBy(now, u, h) {
 		return false
 	}
 	lead := time.Duration(0)
@@ -177,10 +177,7 @@
 		lead = renewalLead(u.policy.Permits)
 	}
 	p, known := u.permits[id]
-	if known && p.expiresAt > now.Add(lead) && p.generation == h.worker.Generation {
-		return false
-	}
-	return u.step.Label == "" || slices.Contains(h.worker.Labels, u.step.Label)
+	return !known || p.expiresAt <= now.Add(lead) || p.generation != h.worker.Generation
 }
 
 // renewalLead returns how long before its expiry a permit is renewed: the longest
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -16,6 +16,8 @@
 	// disturb others, so that it is chosen only when no other worker has enough
 	// free resources.
 	penalty = 10.0
+	// lastResortPenalty is added to the score of a quarantined worker.
+	lastResortPenalty = 10 * penalty
 	// placementRetryInterval is the time between placements of a step that has
 	// tasks without a worker. Each placement examines all workers that the step may
 	// use.
@@ -24,6 +26,9 @@
 	// of the waiting steps follows in the next pass, after the leader has handled
 	// other events: 50,000 workers take some milliseconds.
 	maxExamined = 50_000
+	// maxSkipped bounds the tasks of a step that are passed over in one pass because
+	// they may not be used to probe quarantined workers.
+	maxSkipped = 32
 	// maxLoggedWorkers bounds the workers that one log line names.
 	maxLoggedWorkers = 32
 )
@@ -62,6 +67,9 @@
 		}
 		if u.lacksWorkers {
 			u.retryAt = now.Add(placementRetryInterval)
+			d.updateLastResort(now, u)
+		} else {
+			u.lacksSince, u.isLastResort = 0, false
 		}
 		if u.lacksWorkers && reserving < maxReservations {
 			d.reserve(now, u)
@@ -79,6 +87,7 @@
 	placed := len(d.out.Starts)
 	defer func() { d.logPlaced(now, u, d.out.Starts[placed:]) }()
 	var last *host
+	skipped := 0
 	for index, found := u.waiting.next(0); found; index, found = u.waiting.next(index + 1) {
 		if d.committing >= maxCommitting {
 			return
@@ -95,7 +104,12 @@
 		}
 		if h == nil {
 			u.lacksWorkers = true
-			return
+			if !u.isLastResort || t.Attempt == 0 || skipped == maxSkipped {
+				return
+			}
+			// Another task of the step may have more attempts left.
+			skipped++
+			continue
 		}
 		d.proposeStart(now, u, index, h, t.Attempt+1)
 		last = nil
@@ -110,7 +124,7 @@
 // step is so for this task too: that task made its score better. It does not hold for
 // backfill, whose tasks avoid each other.
 func (d *Dispatcher) isStillBest(now modeler.ClockReading, u *unit, index modeler.TaskIndex, h *host) bool {
-	return u.failedOn[index] != h.worker.ID && h.runs[u.task(index)] == nil && d.canRun(now, u, h, neededBy(u.step))
+	return u.failedOn[index] != h.worker.ID && h.runs[u.task(index)] == nil && d.canRun(now, u, h, neededBy(u.step)) && d.mayProbeWith(now, u, index, h)
 }
 
 // placeGang places all tasks of a gang or none.
@@ -236,13 +250,16 @@
 	lowest := math.Inf(1)
 	need := neededBy(u.step)
 	consider := func(h *host) {
-		if rack != "" && h.worker.Rack != rack || h.runs[u.task(index)] != nil || !d.canRun(now, u, h, need) {
+		if rack != "" && h.worker.Rack != rack || h.runs[u.task(index)] != nil || !d.canRun(now, u, h, need) || !d.mayProbeWith(now, u, index, h) {
 			return
 		}
 		score := d.score(u, h)
 		if u.failedOn[index] == h.worker.ID {
 			score += penalty
 		}
+		if h.isQuarantined(now) {
+			score += lastResortPenalty
+		}
 		if score < lowest || score == lowest && best != nil && h.worker.ID < best.worker.ID {
 			best = h
 			lowest = score
@@ -273,10 +290,7 @@
 
 // canRun reports whether a task of the step can run on the worker now.
 func (d *Dispatcher) canRun(now modeler.ClockReading, u *unit, h *host, need modeler.Resources) bool {
-	if h.worker.Service != u.policy.Service || !need.Fits(h.free()) || !d.usable(now, h) || !fits(need, d.roomFor(now, u, h)) {
-		return false
-	}
-	if u.step.Label != "" && !slices.Contains(h.worker.Labels, u.step.Label) {
+	if !u.suits(h) || !need.Fits(h.free()) || !d.usableBy(now, u, h) || !fits(need, d.roomFor(now, u, h)) {
 		return false
 	}
 	return u.step.PerWorker == 0 || u.runsOn[h.worker.ID] < u.step.PerWorker
--- a/dispatcher/preempt.go
+++ b/dispatcher/preempt.go
@@ -28,9 +28,14 @@
 	maxUnsaved = time.Second
 )
 
+// suits reports whether a worker has the step's service and label.
+func (u *unit) suits(h *host) bool {
+	return h.worker.Service == u.policy.Service && (u.step.Label == "" || slices.Contains(h.worker.Labels, u.step.Label))
+}
+
 // allows reports whether the step's permits, service and label allow a worker.
 func (u *unit) allows(now modeler.ClockReading, h *host) bool {
-	if h.worker.Service != u.policy.Service || u.step.Label != "" && !slices.Contains(h.worker.Labels, u.step.Label) {
+	if !u.suits(h) {
 		return false
 	}
 	p, known := u.permits[h.worker.ID]
--- a/dispatcher/reserve.go
+++ b/dispatcher/reserve.go
@@ -239,7 +239,7 @@
 	if u.policy.Permits == nil {
 		for i := range d.hostList {
 			h := d.hostList[(u.planStart+i)%len(d.hostList)]
-			if u.allows(now, h) && d.usable(now, h) {
+			if u.allows(now, h) && d.usableBy(now, u, h) {
 				out = append(out, h)
 			}
 			if len(out) == maxPlanned {
@@ -250,7 +250,7 @@
 	}
 	for id, p := range u.permits {
 		h := d.hosts[id]
-		if h != nil && p.generation == h.worker.Generation && h.worker.Service == u.policy.Service && d.usable(now, h) {
+		if h != nil && p.generation == h.worker.Generation && h.worker.Service == u.policy.Service && d.usableBy(now, u, h) {
 			out = append(out, h)
 		}
 	}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -94,6 +94,8 @@
 	// supersededBy is the worker that has listed an earlier attempt as done while
 	// this one was being committed; this one is then not sent.
 	supersededBy *host
+	// isProbe means that the attempt shows whether its worker is sound again.
+	isProbe bool
 	// throttlePending means that an order to change the share has no answer yet.
 	throttlePending bool
 }
@@ -138,6 +140,7 @@
 		r.unit.countRun(h, 1)
 		r.unit.updateWaiting(r.task.Index)
 	}
+	h.addProbe(now, r)
 	return r
 }
 
@@ -169,6 +172,9 @@
 	if r.host.runs[r.task] == r {
 		delete(r.host.runs, r.task)
 		r.host.used = r.host.used.Sub(r.need)
+		if r.isProbe {
+			r.host.probes--
+		}
 		if r.unit != nil {
 			r.unit.countRun(r.host, -1)
 		}
@@ -192,6 +198,7 @@
 func (d *Dispatcher) moveRun(r *run, h *host) {
 	delete(r.host.runs, r.task)
 	r.host.used = r.host.used.Sub(r.need)
+	r.isProbe = false
 	// The worker id stays the same, so unit.runsOn needs no update.
 	r.host = h
 	r.seenRunning = false
@@ -471,6 +478,7 @@
 		}
 		d.sendStart(now, r)
 	case r.phase == running && d.isStalled(now, r):
+		r.noteFailedProbe(now)
 		d.quarantineHost(now, h, "a task stands still there")
 		d.stopRun(now, r, "it stands still")
 	}
--- a/dispatcher/slow.go
+++ b/dispatcher/slow.go
@@ -30,10 +30,14 @@
 	maxMoves = 2
 )
 
-// checkProgress compares a task's progress with the usual progress in its
-// queue. It quarantines a worker on which several tasks are slow, and stops a
-// slow task on a quarantined worker if another worker is likely to finish it
-// earlier.
+// slowRun is a slow attempt with the time that it is likely to go on.
+type slowRun struct {
+	run  *run
+	rest time.Duration
+}
+
+// checkProgress compares a task's progress with the usual progress in its queue, and
+// records it if it is slow.
 func (d *Dispatcher) checkProgress(now modeler.ClockReading, h *host, r *run) {
 	if r.phase != running || r.stopping || r.unit == nil || r.share < 100 {
 		return
@@ -56,15 +60,30 @@
 	// flow count only if they were faster before.
 	h.slowSeenAt[r.task] = now
 	h.slowedDown[r.task] = r.slowedDown
+	h.slowRuns = append(h.slowRuns, slowRun{run: r, rest: rest})
+}
+
+// handleSlowRuns quarantines a worker on which several tasks are slow, and stops the
+// slow tasks on a quarantined worker that other workers are likely to finish earlier.
+func (d *Dispatcher) handleSlowRuns(now modeler.ClockReading, h *host) {
+	if len(h.slowRuns) == 0 {
+		return
+	}
 	if !h.isQuarantined(now) && h.isSlow(now) {
 		d.quarantineHost(now, h, "its tasks are slow")
 	}
-	if !h.isQuarantined(now) || r.attempt > maxMoves {
+	if !h.isQuarantined(now) {
 		return
 	}
-	expectedRuntime := r.unit.expectedRuntime()
-	if rest > expectedRuntime+2*d.settings.MaxStopTime {
-		d.stopRun(now, r, "it is slow")
+	for _, s := range h.slowRuns {
+		r := s.run
+		if r.attempt > maxMoves || s.rest <= r.unit.expectedRuntime()+2*d.settings.MaxStopTime {
+			continue
+		}
+		if d.hasOtherWorker(now, r.unit) {
+			r.noteFailedProbe(now)
+			d.stopRun(now, r, "it is slow")
+		}
 	}
 }
 
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -37,6 +37,12 @@
 	// next one is due at retryAt.
 	lacksWorkers bool
 	retryAt      modeler.ClockReading
+	// lacksSince is since when tasks have been without a worker, or 0. A unit in its
+	// last resort may probe quarantined workers; probeFailedAt is when such a probe
+	// last failed.
+	lacksSince    modeler.ClockReading
+	isLastResort  bool
+	probeFailedAt modeler.ClockReading
 	// reservations holds the room that is kept for the waiting tasks.
 	reservations []*reservation
 	// nextPlanAt is when the reservations may be planned again, and planStart the
--- a/sequencer/progress.go
+++ b/sequencer/progress.go
@@ -76,3 +76,19 @@
 func (f *Flow) gangHasFailed(key modeler.StepKey, attempt modeler.Attempt) bool {
 	return slices.Contains(f.progressOf(key).failed, attempt)
 }
+
+// Failures returns how many attempts of a task, or of its gang, have failed.
+func (f *Flow) Failures(id modeler.FlowTask) int {
+	t := f.Task(id)
+	if t == nil {
+		return 0
+	}
+	return f.failuresOf(t, id.StepKey())
+}
+
+func (f *Flow) failuresOf(t *Task, key modeler.StepKey) int {
+	if !f.Spec.Steps[key.Step].Gang {
+		return len(t.FailedAttempts)
+	}
+	return len(f.progressOf(key).failed)
+}
--- a/sequencer/sequencer.go
+++ b/sequencer/sequencer.go
@@ -542,7 +542,7 @@
 		f.complete(t, end.Task.StepKey())
 	case end.Kind == modeler.EndFailed:
 		s.recordFailure(f, t, end)
-		if f.Spec.Policy.Attempts > 0 && s.countFailures(f, t, end) >= f.Spec.Policy.Attempts {
+		if f.Spec.Policy.Attempts > 0 && f.failuresOf(t, end.Task.StepKey()) >= f.Spec.Policy.Attempts {
 			s.finishFlow(now, f, modeler.FlowFailed)
 			return
 		}
@@ -576,15 +576,6 @@
 	}
 }
 
-// countFailures counts the failed attempts of a task or, for a gang, of all its
-// members.
-func (s *Sequencer) countFailures(f *Flow, t *Task, end modeler.FlowEnd) int {
-	if !f.Spec.Steps[end.Task.Step].Gang {
-		return len(t.FailedAttempts)
-	}
-	return len(f.progressOf(end.Task.StepKey()).failed)
-}
-
 // completeGang marks all members of a gang as done, since one member that is
 // done means that the gang is. The other members occupy their workers until
 // their own ends are known.
