dispatcher: a scheduled flow has units only for occurrences that are due and not done

The class of the fault before: each turn of a leader, and its take-over, grew with the number of occurrences that a caller had asked for. With 100,000 occurrences of one task a cancel held the core goroutine up for 2.0 to 2.3 s, and a new leader inserted 100,000 units one by one.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -60,7 +60,9 @@
 	// sortedUnits holds all units in the order of compareUnits.
 	sortedUnits []*unit
 	// flowUnits holds the units of each flow that is not over.
-	flowUnits map[modeler.FlowID][]*unit
+	flowUnits map[modeler.FlowID]*flowUnits
+	// flowsWithDone holds the flows with occurrences that the next tick drops.
+	flowsWithDone map[modeler.FlowID]bool
 	// runs holds the newest attempt of each task, abandoned the earlier attempts
 	// that may still run, and proposedEnds the attempts whose end is proposed while
 	// runs holds another attempt of their task.
@@ -116,25 +118,26 @@
 		settings.Log = func(string, ...any) {}
 	}
 	d := &Dispatcher{
-		state:        state,
-		settings:     settings,
-		term:         term,
-		termBegan:    now,
-		stamp:        stamp,
-		hosts:        make(map[modeler.WorkerID]*host),
-		units:        make(map[modeler.StepKey]*unit),
-		flowUnits:    make(map[modeler.FlowID][]*unit),
-		runs:         make(map[modeler.FlowTask]*run),
-		hostsAt:      make(map[string][]*host),
-		abandoned:    make(map[modeler.FlowTask][]*run),
-		proposedEnds: make(map[attemptID]*run),
-		queues:       make(map[modeler.QueueID]*queueStats),
-		services:     make(map[modeler.ServiceName]*serviceHealth),
-		changed:      true,
-		senders:      1,
-		heldBack:     make(map[modeler.FlowTask]*host),
-		restoring:    true,
-		placeRound:   1,
+		state:         state,
+		settings:      settings,
+		term:          term,
+		termBegan:     now,
+		stamp:         stamp,
+		hosts:         make(map[modeler.WorkerID]*host),
+		units:         make(map[modeler.StepKey]*unit),
+		flowUnits:     make(map[modeler.FlowID]*flowUnits),
+		flowsWithDone: make(map[modeler.FlowID]bool),
+		runs:          make(map[modeler.FlowTask]*run),
+		hostsAt:       make(map[string][]*host),
+		abandoned:     make(map[modeler.FlowTask][]*run),
+		proposedEnds:  make(map[attemptID]*run),
+		queues:        make(map[modeler.QueueID]*queueStats),
+		services:      make(map[modeler.ServiceName]*serviceHealth),
+		changed:       true,
+		senders:       1,
+		heldBack:      make(map[modeler.FlowTask]*host),
+		restoring:     true,
+		placeRound:    1,
 	}
 	for _, m := range state.Workers() {
 		h := d.addHost(now, m)
--- a/dispatcher/prospect.go
+++ b/dispatcher/prospect.go
@@ -71,7 +71,7 @@
 			continue
 		}
 		if d.uses(Runtimes) && u.learned != d.queue(u.flow.Spec.Queue).learned {
-			d.setDeadlines(d.flowUnits[u.key.Flow])
+			d.setDeadlines(d.flowUnits[u.key.Flow].units)
 			changed = true
 		}
 		if p := u.deadlines.at(d.stamp); p != u.timeliness {
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -60,6 +60,8 @@
 	isAsking     bool
 	nextAskAt    modeler.ClockReading
 	readyAt      modeler.ClockReading
+	// occurrenceDone means that all steps of the unit's occurrence are done.
+	occurrenceDone bool
 	// brokenAttempt is the newest attempt of a gang that can't be complete any more.
 	brokenAttempt modeler.Attempt
 	// placeRound is the round of placement in which the unit was last tried.
@@ -87,46 +89,22 @@
 		return
 	}
 	d.slowdownRange.include(&f.Spec.Policy)
-	var units []*unit
-	for k := range f.Occurrences() {
-		for s := range f.Spec.Steps {
-			key := modeler.StepKey{Flow: id, Occurrence: modeler.Occurrence(k), Step: modeler.StepIndex(s)}
-			u := &unit{
-				dispatcher: d,
-				key:        key,
-				flow:       f,
-				step:       &f.Spec.Steps[s],
-				policy:     &f.Spec.Policy,
-				waiting:    newTaskSet(f.Spec.Steps[s].Count),
-				planStart:  len(d.units),
-			}
-			if !d.restoring {
-				u.takeRuns()
-			}
-			u.recomputeWaiting()
-			d.units[key] = u
-			units = append(units, u)
-		}
-	}
-	d.flowUnits[id] = units
-	d.setDeadlines(units)
-	d.insertUnits(units)
-	d.markReadySteps(now, units)
+	fl := &flowUnits{flow: f}
+	d.flowUnits[id] = fl
+	d.addOccurrences(now, fl)
 	d.settings.Log("flow added to the scheduler", "request", id, "queue", f.Spec.Queue, "steps", len(f.Spec.Steps), "tasks", len(f.Tasks), "priority", f.Spec.Policy.Priority,
 		"age", time.Duration(d.stamp-f.ArrivedAt)*time.Millisecond, "ticket", d.state.Layout().Number, "term", d.term)
 }
 
-// setDeadlines computes when the steps of a flow have to start, from the run times
-// that are expected now.
+// setDeadlines computes when steps of a flow have to start, from the run times that are
+// expected now. The units are those of whole occurrences.
 func (d *Dispatcher) setDeadlines(units []*unit) {
 	f := units[0].flow
-	steps := len(f.Spec.Steps)
-	for k := range f.Occurrences() {
-		occurrence := units[k*steps : (k+1)*steps]
+	for occurrence := range slices.Chunk(units, len(f.Spec.Steps)) {
 		rest := longestChains(occurrence)
 		slack := time.Duration(f.Spec.Policy.Slowdown*float64(slices.Max(rest))) + f.Spec.Policy.Latency
 		for s, u := range occurrence {
-			u.latestStart = d.dueTime(f, k).Add(slack - rest[s])
+			u.latestStart = d.dueTime(f, int(u.key.Occurrence)).Add(slack - rest[s])
 			u.deadlines = newDeadlines(u.latestStart, slack, f.Spec.Policy.Latency)
 			u.learned = d.queue(f.Spec.Queue).learned
 			if !u.step.LongRunning && !u.step.Backfill && d.uses(Timeliness) {
@@ -176,7 +154,11 @@
 	if found {
 		d.settings.Log("flow over", "request", id, "state", f.State, "occupied", f.OccupiedTasks)
 	}
-	for _, u := range d.flowUnits[id] {
+	var units []*unit
+	if fl := d.flowUnits[id]; fl != nil {
+		units = fl.units
+	}
+	for _, u := range units {
 		d.clearAsked(u)
 		delete(d.units, u.key)
 		u.ready = false
@@ -186,15 +168,14 @@
 		}
 		d.stopAbandoned(now, u)
 	}
-	if len(d.flowUnits[id]) > 0 {
+	if len(units) > 0 {
 		d.sortedUnits = slices.DeleteFunc(d.sortedUnits, func(u *unit) bool { return u.key.Flow == id })
 	}
-	units := d.flowUnits[id]
 	delete(d.flowUnits, id)
 	if !found || f.OccupiedTasks == 0 {
 		return
 	}
-	for _, r := range d.runsOf(id, units) {
+	for _, r := range d.runsOf(f, units) {
 		r.unit = nil
 		// The members of a completed gang end on their own, and stopCopies stops the
 		// other attempts of completed tasks.
@@ -206,13 +187,13 @@
 
 // runsOf returns the newest attempts of a flow's tasks. It visits the tasks of the flow
 // or all attempts, whichever are fewer.
-func (d *Dispatcher) runsOf(id modeler.FlowID, units []*unit) []*run {
-	tasks := 0
+func (d *Dispatcher) runsOf(f *sequencer.Flow, units []*unit) []*run {
+	id, tasks := f.Spec.ID, 0
 	for _, u := range units {
 		tasks += u.step.Count
 	}
 	var out []*run
-	if len(units) == 0 || tasks > len(d.runs) {
+	if f.Occurrences() > 1 || len(units) == 0 || tasks > len(d.runs) {
 		for task, r := range d.runs {
 			if task.Flow == id {
 				out = append(out, r)
@@ -298,9 +279,8 @@
 	}
 	u.waiting.clear()
 	d.settings.Log("step done", "request", u.key.Flow, "occurrence", u.key.Occurrence, "step", u.key.Step, "took", now.Sub(u.readyAt).String())
-	steps := len(u.flow.Spec.Steps)
-	first := int(u.key.Occurrence) * steps
-	d.markReadySteps(now, d.flowUnits[u.key.Flow][first:first+steps])
+	d.markReadySteps(now, u.occurrenceUnits())
+	d.markOccurrenceDone(u)
 }
 
 // insertUnits adds the units of one flow to sortedUnits.
@@ -351,11 +331,13 @@
 // updateReadiness marks the scheduled steps that are due, and the steps that
 // request their permits ahead.
 func (d *Dispatcher) updateReadiness(now modeler.ClockReading) {
-	for _, units := range d.flowUnits {
-		if units[0].flow.Spec.Occurrences > 0 {
-			d.markReadySteps(now, units)
+	d.dropDoneOccurrences()
+	for _, fl := range d.flowUnits {
+		if fl.flow.Spec.Occurrences > 0 {
+			d.addOccurrences(now, fl)
+			d.markReadySteps(now, fl.units)
 		}
-		for _, u := range units {
+		for _, u := range fl.units {
 			if !u.ready && u.policy.Permits != nil && d.uses(PermitsAhead) {
 				u.isReadySoon = d.likelyReadySoon(now, u)
 			}
--- a/dispatcher/width_test.go
+++ b/dispatcher/width_test.go
@@ -191,3 +191,46 @@
 	assert.Equal(t, held.State, modeler.FlowCompleted)
 	assert.Assert(t, c.turns.longest < leaderLease, "%s took %v", c.turns.what, c.turns.longest)
 }
+
+// Guards against the same for a flow with many occurrences: all of them had units from
+// the start, which each pass of the placement and each tick visited.
+func TestManyOccurrencesDoNotHoldUpLeader(t *testing.T) {
+	for _, interval := range []time.Duration{0, time.Millisecond, time.Hour} {
+		t.Run(interval.String(), func(t *testing.T) {
+			f := flow("scheduled", smallTasks(1))
+			f.Occurrences = widestStep
+			f.Interval = interval
+			c := newWidthCell(f)
+			c.play(2000, modeler.EndDone)
+			c.elect()
+			c.play(2000, modeler.EndDone)
+			c.turns.measure("cancel", func() {
+				c.state.Cancel(c.stamp(), "scheduled")
+				c.leader.ApplyChanges(c.now, c.stamp(), c.state.Changes())
+			})
+			assert.Assert(t, c.turns.longest < leaderLease, "%s took %v", c.turns.what, c.turns.longest)
+		})
+	}
+}
+
+// Guards against occurrences that never run because they were not due when their flow
+// was submitted, or because another leader took over meanwhile.
+func TestAllOccurrencesRun(t *testing.T) {
+	r := newRig(t, 1)
+	r.addWorkers(6, 8)
+	first := step(2, 1, 100*time.Millisecond)
+	second := step(1, 1, 100*time.Millisecond)
+	second.After = []modeler.StepIndex{0}
+	f := flow("scheduled", first, second)
+	f.Occurrences = 1500
+	f.Start = r.stamp() + 500
+	f.Interval = 10 * time.Millisecond
+	r.submit(f)
+	for range 3 {
+		r.run(3 * time.Second)
+		r.electLeader()
+	}
+	r.run(20 * time.Second)
+	assert.Equal(t, r.flowState("scheduled"), modeler.FlowCompleted)
+	assert.Equal(t, len(r.startOrder), 1500*3)
+}
--- a/sequencer/progress.go
+++ b/sequencer/progress.go
@@ -47,6 +47,22 @@
 	}
 }
 
+// OccurrenceDone reports whether all steps of an occurrence are done.
+func (f *Flow) OccurrenceDone(k modeler.Occurrence) bool {
+	return !slices.ContainsFunc(f.occurrenceProgress(k), func(p stepProgress) bool { return p.open > 0 })
+}
+
+// OccurrenceOccupied reports whether an attempt of an occurrence may still run.
+func (f *Flow) OccurrenceOccupied(k modeler.Occurrence) bool {
+	return slices.ContainsFunc(f.occurrenceProgress(k), func(p stepProgress) bool { return p.occupied > 0 })
+}
+
+// occurrenceProgress returns the summaries of the steps of an occurrence.
+func (f *Flow) occurrenceProgress(k modeler.Occurrence) []stepProgress {
+	steps := len(f.Spec.Steps)
+	return f.progress[int(k)*steps : (int(k)+1)*steps]
+}
+
 // occupy records the worker on which the newest attempt of a task may run.
 func (f *Flow) occupy(t *Task, start modeler.FlowStart) {
 	t.Phase = TaskPlaced
