--- a/controller/core.go
+++ b/controller/core.go
@@ -21,6 +21,10 @@
 	leaderTickInterval = 100 * time.Millisecond
 	// maxBurst bounds the events handled between two flushes.
 	maxBurst = 256
+	// maxApplyTime bounds the time for which one turn applies committed entries, and
+	// maxApplied is how many are applied between two looks at the clock.
+	maxApplyTime = 50 * time.Millisecond
+	maxApplied   = 16
 	// leaderSilence is how long a member hears no leader until it asks to be
 	// admitted again; elections take up to half as long.
 	leaderSilence = 2 * time.Second
@@ -82,6 +86,8 @@
 	bytesInSnapshot    modeler.Bytes
 	appliedTerm        modeler.Term
 	appliedIndex       modeler.Index
+	// unapplied holds the committed entries that are not applied yet.
+	unapplied []modeler.LogEntry
 	// lastEventPosted is when the last handled event was posted.
 	lastEventPosted modeler.ClockReading
 	// handOverDone is closed when a leadership transfer before a shutdown is
@@ -158,6 +164,9 @@
 // timeToNextTick returns the time until the next deadline. A fixed tick would
 // have to come every 20 ms, which was most of the cost of an idle process.
 func (c *core) timeToNextTick() time.Duration {
+	if len(c.unapplied) > 0 {
+		return 0
+	}
 	now := c.controller.now()
 	nextDue := min(c.log.Due(), now.Add(leaderTickInterval))
 	if c.isActiveLeader(now) {
@@ -271,7 +280,7 @@
 		if err := c.processOutput(ctx, out); err != nil {
 			return err
 		}
-		if len(out.Committed) == 0 {
+		if len(out.Committed) == 0 || len(c.unapplied) > 0 {
 			return nil
 		}
 	}
@@ -306,7 +315,23 @@
 			return nil
 		}
 	}
-	return c.applyEntries(ctx, out.Committed)
+	c.unapplied = append(c.unapplied, out.Committed...)
+	return c.applyPortion(ctx)
+}
+
+// applyPortion applies committed entries for up to maxApplyTime; the others follow in
+// the next turn, so that a member that catches up goes on to answer its leader.
+func (c *core) applyPortion(ctx context.Context) error {
+	begun := time.Now()
+	for len(c.unapplied) > 0 && time.Since(begun) < maxApplyTime {
+		portion := c.unapplied[:min(len(c.unapplied), maxApplied)]
+		c.unapplied = c.unapplied[len(portion):]
+		if err := c.applyEntries(portion); err != nil {
+			return err
+		}
+	}
+	c.takeSnapshot(ctx)
+	return nil
 }
 
 func (c *core) saveDurable(d modeler.HardState) error {
@@ -330,6 +355,7 @@
 			return err
 		}
 	}
+	c.unapplied = slices.DeleteFunc(c.unapplied, func(e modeler.LogEntry) bool { return e.Index <= s.Index })
 	c.snapshot = s.Index
 	c.appliedTerm = s.Term
 	c.appliedIndex = s.Index
@@ -338,7 +364,7 @@
 
 // applyEntries applies committed entries and replies to the proposals that wait
 // for them.
-func (c *core) applyEntries(ctx context.Context, entries []modeler.LogEntry) error {
+func (c *core) applyEntries(entries []modeler.LogEntry) error {
 	defer c.turn.spend(turnApply, time.Now())
 	c.turn.entries += len(entries)
 	for i := range entries {
@@ -361,7 +387,6 @@
 	if c.leader != nil {
 		c.leader.applyChanges(c.controller.now(), changes)
 	}
-	c.takeSnapshot(ctx)
 	return nil
 }
 
