dispatcher: reservations and ended flows cost what they touch

Openings now hold all tasks that fit between two releases, with the same choice; blockers count once by a number; dropped units are removed together; a pass of placement counts the attempts that it examines for a plan and goes on in the next turn; lines of taken-over flows are limited to 200 besides a sum.

--- a/controller/flows.go
+++ b/controller/flows.go
@@ -160,6 +160,9 @@
 // orders may be sent, or due if that is earlier.
 func (l *flowLeadership) nextDue(due modeler.ClockReading) modeler.ClockReading {
 	due = l.carrier.Due(due)
+	if l.cell.HasMoreToPlace() {
+		return l.core.controller.now()
+	}
 	if len(l.starts)+len(l.ends) == 0 {
 		return due
 	}
@@ -421,6 +424,9 @@
 	if err := sequencer.Check(flow); err != nil {
 		return errorReply(err), nil
 	}
+	if err := l.core.state.Flows().CheckRoom(flow); err != nil {
+		return errorReply(err), nil
+	}
 	return modeler.Reply{}, &modeler.Command{Kind: modeler.SubmitFlow, Flow: flow}
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -57,8 +57,11 @@
 	// renewQueue holds the hosts that have no renewal in flight.
 	renewQueue []*host
 	units      map[modeler.StepKey]*unit
-	// sortedUnits holds all units in the order of compareUnits.
+	// sortedUnits holds all units, and some that were dropped, in the order of
+	// compareUnits.
 	sortedUnits []*unit
+	// droppedUnits counts the units in sortedUnits that are not in use any more.
+	droppedUnits int
 	// flowUnits holds the units of each flow that is not over.
 	flowUnits map[modeler.FlowID]*flowUnits
 	// flowsWithDone holds the flows with occurrences that the next tick drops.
@@ -81,7 +84,10 @@
 	// of passes that did.
 	examined      int
 	passIsPartial bool
-	placeRound    uint64
+	// reservationPass numbers the sums over the blockers of reservations, so that each
+	// blocker counts once in a sum.
+	reservationPass uint64
+	placeRound      uint64
 	// searchStart is the index in hostList at which the next search for workers to
 	// ask about begins.
 	searchStart int
@@ -146,6 +152,7 @@
 	d.settings.Log("workers taken over", "count", len(d.hostList), "term", term)
 	state.ForEachFlow(func(f *sequencer.Flow) { d.restoreFlow(now, f) })
 	slices.SortFunc(d.sortedUnits, compareUnits)
+	d.settings.Log("flows taken over", "count", len(d.flowUnits), "steps", len(d.units), "attempts", len(d.runs), "term", term)
 	d.restoring = false
 	return d
 }
--- a/dispatcher/occurrence.go
+++ b/dispatcher/occurrence.go
@@ -109,8 +109,7 @@
 	if len(d.flowsWithDone) == 0 {
 		return
 	}
-	isDone := func(u *unit) bool { return u.occurrenceDone }
-	d.sortedUnits = slices.DeleteFunc(d.sortedUnits, isDone)
+	dropped := 0
 	for id := range d.flowsWithDone {
 		fl := d.flowUnits[id]
 		if fl == nil {
@@ -121,9 +120,12 @@
 				d.clearAsked(u)
 				d.releaseReservations(u)
 				delete(d.units, u.key)
+				u.dropped = true
+				dropped++
 			}
 		}
-		fl.units = slices.DeleteFunc(fl.units, isDone)
+		fl.units = slices.DeleteFunc(fl.units, func(u *unit) bool { return u.occurrenceDone })
 	}
+	d.compactSortedUnits(dropped)
 	clear(d.flowsWithDone)
 }
--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -210,20 +210,11 @@
 // taskCapacity returns how many more tasks of the step the worker can take.
 func (d *Dispatcher) taskCapacity(now modeler.ClockReading, u *unit, h *host, need modeler.Resources) int {
 	free := d.roomFor(now, u, h)
-	n := u.step.Count
+	most := u.step.Count
 	if u.step.PerWorker > 0 {
-		n = min(n, u.step.PerWorker-u.runsOn[h.worker.ID])
+		most = min(most, u.step.PerWorker-u.runsOn[h.worker.ID])
 	}
-	if need.Processors > 0 {
-		n = min(n, int(free.Processors/need.Processors))
-	}
-	if need.Memory > 0 {
-		n = min(n, int(free.Memory/need.Memory))
-	}
-	if need.Accelerators > 0 {
-		n = min(n, int(free.Accelerators/need.Accelerators))
-	}
-	return max(n, 0)
+	return timesIn(need, free, most)
 }
 
 // HandlePermitAnswer handles the outside policy's answer to a permit request.
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -311,6 +311,7 @@
 	case u.step.Backfill:
 		// Backfill uses idle processors and slows down serving tasks.
 		score = -score
+		d.examined += len(h.runs)
 		for _, r := range h.runs {
 			if r.unit != nil && r.unit.step.LatencyTarget > 0 {
 				score += penalty
@@ -320,6 +321,7 @@
 			}
 		}
 	case u.step.LatencyTarget > 0:
+		d.examined += len(h.runs)
 		for _, r := range h.runs {
 			if r.unit != nil && r.unit.step.Backfill {
 				score += penalty
--- a/dispatcher/reserve.go
+++ b/dispatcher/reserve.go
@@ -27,6 +27,9 @@
 	// minBackfillTime is the time before a reservation begins from which tasks that
 	// can be preempted for it may use its room.
 	minBackfillTime = 1500 * time.Millisecond
+	// releaseCost is the time that the expected end of one attempt takes, relative to
+	// the examination of a worker.
+	releaseCost = 4
 )
 
 // reservation is room on one worker that is kept for a waiting step. It serves
@@ -52,11 +55,12 @@
 	preempted bool
 }
 
-// opening is the earliest room for one more task of a step on a worker.
+// opening is the earliest room for more tasks of a step on a worker.
 type opening struct {
 	host *host
-	// tasks counts the tasks of the step that have room there, including this one.
-	tasks int
+	// tasks counts the tasks of the step that have room there, and before those that
+	// have room in the openings before this one.
+	tasks, before int
 	// from is when the room is free if attempts that can be preempted are stopped in
 	// time.
 	from modeler.ClockReading
@@ -93,16 +97,17 @@
 	}
 	later := free
 	reserved := false
-	var counted []*run
+	d.reservationPass++
 	for _, v := range h.reservations {
 		if v.unit == u || compareUnits(v.unit, u) > 0 || d.mayBackfill(now, u, v) {
 			continue
 		}
 		reserved = true
 		later = later.Sub(v.room)
+		d.examined += len(v.blockers)
 		for _, r := range v.blockers {
-			if h.runs[r.task] == r && !slices.Contains(counted, r) {
-				counted = append(counted, r)
+			if h.runs[r.task] == r && r.countedIn != d.reservationPass {
+				r.countedIn = d.reservationPass
 				later = later.Add(r.need)
 			}
 		}
@@ -166,15 +171,27 @@
 	for _, h := range d.permittedHosts(now, u) {
 		openings = append(openings, d.openingsOn(now, u, h, earlier)...)
 	}
-	if u.step.Gang && len(openings) < u.waiting.len() {
-		return nil
+	missing := u.waiting.len()
+	if u.step.Gang {
+		room := 0
+		for _, o := range openings {
+			room += o.tasks - o.before
+		}
+		if room < missing {
+			return nil
+		}
 	}
 	slices.SortFunc(openings, func(a, b opening) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.host.worker.ID, b.host.worker.ID), cmp.Compare(a.tasks, b.tasks))
 	})
 	var plan []opening
 	var last modeler.ClockReading
-	for _, o := range openings[:min(len(openings), u.waiting.len())] {
+	for _, o := range openings {
+		if missing == 0 {
+			break
+		}
+		o.tasks = o.before + min(o.tasks-o.before, missing)
+		missing -= o.tasks - o.before
 		last = max(last, o.from)
 		// An opening covers those before it on the same worker.
 		at := slices.IndexFunc(plan, func(other opening) bool { return other.host == o.host })
@@ -274,34 +291,51 @@
 	releases := d.releasesOn(now, u, h)
 	isReserved := slices.ContainsFunc(earlier, func(v *reservation) bool { return v.host == h })
 	var out []opening
-	at, from, used, preempted := now, now, 0, 0
-	for n := 1; n <= most; n++ {
-		for !fits(need.Times(int64(n)), room) {
-			if used == len(releases) {
-				return out
-			}
-			e := releases[used]
-			used++
-			room = room.Add(e.run.need)
-			at = max(at, e.at)
-			if e.preempted {
-				preempted++
-			} else {
-				from = max(from, e.at)
+	at, from, used, preempted, tasks := now, now, 0, 0, 0
+	for {
+		if n := timesIn(need, room, most); n > tasks {
+			rank := at.Add(time.Duration(preempted) * preemptionCost)
+			if isReserved {
+				rank = rank.Add(-keepReservation)
 			}
+			out = append(out, opening{host: h, tasks: n, before: tasks, from: from, rank: rank, blockers: releases[:used:used]})
+			tasks = n
+		}
+		if tasks >= most || used == len(releases) {
+			return out
 		}
-		rank := at.Add(time.Duration(preempted) * preemptionCost)
-		if isReserved {
-			rank = rank.Add(-keepReservation)
+		e := releases[used]
+		used++
+		room = room.Add(e.run.need)
+		at = max(at, e.at)
+		if e.preempted {
+			preempted++
+		} else {
+			from = max(from, e.at)
 		}
-		out = append(out, opening{host: h, tasks: n, from: from, rank: rank, blockers: releases[:used:used]})
 	}
-	return out
+}
+
+// timesIn returns how many times need fits into room, up to most. Room may be negative
+// in dimensions that the task doesn't need.
+func timesIn(need, room modeler.Resources, most int) int {
+	n := int64(max(most, 0))
+	if need.Processors > 0 {
+		n = min(n, max(int64(room.Processors/need.Processors), 0))
+	}
+	if need.Memory > 0 {
+		n = min(n, max(int64(room.Memory/need.Memory), 0))
+	}
+	if need.Accelerators > 0 {
+		n = min(n, max(int64(room.Accelerators/need.Accelerators), 0))
+	}
+	return int(n)
 }
 
 // releasesOn returns the expected ends of the attempts on a worker in order of
 // time. Attempts that can be preempted for the step end soon after a stop.
 func (d *Dispatcher) releasesOn(now modeler.ClockReading, u *unit, h *host) []release {
+	d.examined += releaseCost * len(h.runs)
 	mayPreempt := d.uses(Preempt) && !u.step.LongRunning && now.Sub(u.readyAt) >= preemptAfter
 	var out []release
 	for _, r := range h.runs {
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -94,6 +94,8 @@
 	// supersededBy is the worker that has listed an earlier attempt as done while
 	// this one was being committed; this one is then not sent.
 	supersededBy *host
+	// countedIn is the reservationPass in which the attempt was last counted.
+	countedIn uint64
 	// isProbe means that the attempt shows whether its worker is sound again.
 	isProbe bool
 	// throttlePending means that an order to change the share has no answer yet.
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -60,8 +60,10 @@
 	isAsking     bool
 	nextAskAt    modeler.ClockReading
 	readyAt      modeler.ClockReading
-	// occurrenceDone means that all steps of the unit's occurrence are done.
+	// occurrenceDone means that all steps of the unit's occurrence are done, and dropped
+	// that the unit is not in use any more.
 	occurrenceDone bool
+	dropped        bool
 	// brokenAttempt is the newest attempt of a gang that can't be complete any more.
 	brokenAttempt modeler.Attempt
 	// placeRound is the round of placement in which the unit was last tried.
@@ -92,10 +94,16 @@
 	fl := &flowUnits{flow: f}
 	d.flowUnits[id] = fl
 	d.addOccurrences(now, fl)
+	if d.restoring && len(d.flowUnits) > maxRestoredLogged {
+		return
+	}
 	d.settings.Log("flow added to the scheduler", "request", id, "queue", f.Spec.Queue, "steps", len(f.Spec.Steps), "tasks", len(f.Tasks), "priority", f.Spec.Policy.Priority,
 		"age", time.Duration(d.stamp-f.ArrivedAt)*time.Millisecond, "ticket", d.state.Layout().Number, "term", d.term)
 }
 
+// maxRestoredLogged bounds the flows that a new leader logs one by one.
+const maxRestoredLogged = 200
+
 // setDeadlines computes when steps of a flow have to start, from the run times that are
 // expected now. The units are those of whole occurrences.
 func (d *Dispatcher) setDeadlines(units []*unit) {
@@ -162,15 +170,15 @@
 		d.clearAsked(u)
 		delete(d.units, u.key)
 		u.ready = false
+		u.waiting.clear()
+		u.dropped = true
 		d.releaseReservations(u)
 		for i := range u.step.Count {
 			delete(d.heldBack, u.task(modeler.TaskIndex(i)))
 		}
 		d.stopAbandoned(now, u)
 	}
-	if len(units) > 0 {
-		d.sortedUnits = slices.DeleteFunc(d.sortedUnits, func(u *unit) bool { return u.key.Flow == id })
-	}
+	d.compactSortedUnits(len(units))
 	delete(d.flowUnits, id)
 	if !found || f.OccupiedTasks == 0 {
 		return
@@ -283,6 +291,20 @@
 	d.markOccurrenceDone(u)
 }
 
+// compactSortedUnits removes dropped units from sortedUnits once they are a good part
+// of it; more is how many were dropped now. They have no waiting task.
+func (d *Dispatcher) compactSortedUnits(more int) {
+	d.droppedUnits += more
+	if d.droppedUnits*maxDroppedDivisor > len(d.sortedUnits) {
+		d.sortedUnits = slices.DeleteFunc(d.sortedUnits, func(u *unit) bool { return u.dropped })
+		d.droppedUnits = 0
+	}
+}
+
+// maxDroppedDivisor bounds the dropped units in sortedUnits to one part in
+// maxDroppedDivisor.
+const maxDroppedDivisor = 8
+
 // insertUnits adds the units of one flow to sortedUnits.
 func (d *Dispatcher) insertUnits(units []*unit) {
 	if d.restoring || len(units) > maxInserted {
