Limits of a job and of all jobs, told to the caller at once

A job may have 100,000 tasks (as before) in 10,000 steps (step numbers had 16 bits, and a job of 65,537 steps mixed them up). All jobs that are not over may have 500,000 tasks and be 20,000, since their state has to fit into the memory of each member, and a new leader has to take them over within its lease; before, there was no bound, and a few jobs of 100,000 tasks each were accepted whatever the memory. 413 (the job can never be accepted) and 503 with Retry-After (later) carry the figure as JSON.

--- a/sequencer/sequencer.go
+++ b/sequencer/sequencer.go
@@ -16,6 +16,13 @@
 	// maxTasks bounds the tasks of one flow over all its occurrences, since each
 	// takes memory on every member.
 	maxTasks = 100_000
+	// maxSteps bounds the steps of one flow.
+	maxSteps = 10_000
+	// maxHeldTasks and maxHeldFlows bound the tasks of all flows that are not over, and
+	// these flows, so that they fit into the memory of every member, and a new leader
+	// takes them over well within its lease (docs/CAPACITY.md).
+	maxHeldTasks = 500_000
+	maxHeldFlows = 20_000
 	// maxDuration bounds each duration in a flow to a year, and maxAmount each
 	// resource that a task needs, bytes of memory included, to 1<<50 (a pebibyte),
 	// so that sums over all tasks and occurrences of a flow can't overflow.
@@ -152,6 +159,10 @@
 	workers map[modeler.WorkerID]modeler.WorkerAnnouncement
 	// pending counts the flows of each queue that have no started task.
 	pending map[modeler.QueueID]int
+	// openFlows counts the flows that are not over, and heldTasks the tasks of all flows
+	// whose details are held.
+	openFlows int
+	heldTasks int
 	// departures holds the last generation of each worker that has left
 	// permanently, until endedFlowRetention has passed.
 	departures map[modeler.WorkerID]DepartedWorker
@@ -287,6 +298,8 @@
 	f.OpenTasks = f.tasksPerOccurrence * f.Occurrences()
 	f.Tasks = make([]Task, f.OpenTasks)
 	f.computeProgress()
+	s.openFlows++
+	s.heldTasks += len(f.Tasks)
 	s.flows[spec.ID] = f
 	s.pending[spec.Queue]++
 	s.recordChange(Change{Kind: FlowAdded, Flow: spec.ID})
@@ -298,12 +311,18 @@
 	if len(f.Steps) == 0 {
 		return classifier.New(classifier.Malformed, "the flow has no steps")
 	}
+	if len(f.Steps) > maxSteps {
+		return classifier.New(classifier.TooLarge, "the flow has %d steps, %d are accepted", len(f.Steps), maxSteps)
+	}
 	total := 0
 	for i := range f.Steps {
 		step := &f.Steps[i]
-		if step.Count <= 0 || step.Count > maxTasks {
+		if step.Count <= 0 {
 			return classifier.New(classifier.Malformed, "step %d has %d tasks", i, step.Count)
 		}
+		if step.Count > maxTasks {
+			return classifier.New(classifier.TooLarge, "step %d has %d tasks, %d are accepted", i, step.Count, maxTasks)
+		}
 		total += step.Count
 		if err := checkStep(i, step); err != nil {
 			return err
@@ -323,6 +342,24 @@
 	return nil
 }
 
+// CheckRoom returns an error of kind QueueFull if a checked flow does not fit beside those that are
+// not over.
+func (s *Sequencer) CheckRoom(f *modeler.Flow) error {
+	tasks := 0
+	for i := range f.Steps {
+		tasks += f.Steps[i].Count
+	}
+	tasks *= max(f.Occurrences, 1)
+	switch {
+	case s.heldTasks+tasks > maxHeldTasks:
+		return classifier.New(classifier.QueueFull, "the flow has %d tasks, %d of %d are held", tasks, s.heldTasks, maxHeldTasks)
+	case s.openFlows >= maxHeldFlows:
+		return classifier.New(classifier.QueueFull, "%d of %d flows are held", s.openFlows, maxHeldFlows)
+	default:
+		return nil
+	}
+}
+
 func checkStep(i int, step *modeler.Step) error {
 	need := step.Need
 	switch {
@@ -359,6 +396,7 @@
 // ends are known.
 func (s *Sequencer) finishFlow(now modeler.Timestamp, f *Flow, state modeler.FlowState) {
 	s.setState(f, state)
+	s.openFlows--
 	f.EndedAt = now
 	s.endedFlow = append(s.endedFlow, endedFlow{id: f.Spec.ID, at: now})
 	s.recordChange(Change{Kind: FlowEnded, Flow: f.Spec.ID})
@@ -371,6 +409,7 @@
 	if !f.IsOver() || f.OccupiedTasks > 0 {
 		return
 	}
+	s.heldTasks -= len(f.Tasks)
 	f.Tasks = nil
 	f.Spec.Steps = nil
 	f.Spec.Spec = ""
--- a/sequencer/sequencer_test.go
+++ b/sequencer/sequencer_test.go
@@ -292,3 +292,29 @@
 	fresh.Cancel(4, "h")
 	assert.Equal(t, fresh.Pending(queue), 0)
 }
+
+// Guards against flows that no member has memory for, and against a limit that isn't
+// told, or that counts flows which are over.
+func TestHeldTasksAreBounded(t *testing.T) {
+	s := newState()
+	wide := oneStepFlow("", 100_000)
+	assert.NilError(t, sequencer.Check(wide))
+	for _, id := range []modeler.FlowID{"a", "b", "c", "d", "e"} {
+		assert.NilError(t, s.CheckRoom(wide))
+		f := oneStepFlow(id, 100_000)
+		s.Submit(1, f)
+	}
+	err := s.CheckRoom(oneStepFlow("", 1))
+	assert.Equal(t, classifier.KindOf(err), classifier.QueueFull)
+	assert.ErrorContains(t, err, "500000 of 500000 are held")
+	saved := s.TakeSnapshot()
+	restored := sequencer.New()
+	restored.Restore(&saved)
+	assert.Equal(t, classifier.KindOf(restored.CheckRoom(oneStepFlow("", 1))), classifier.QueueFull)
+	s.Cancel(2, "a")
+	assert.NilError(t, s.CheckRoom(wide))
+	assert.Equal(t, classifier.KindOf(sequencer.Check(oneStepFlow("", 100_001))), classifier.TooLarge)
+	narrow := oneStepFlow("", 1)
+	narrow.Steps = make([]modeler.Step, 10_001)
+	assert.Equal(t, classifier.KindOf(sequencer.Check(narrow)), classifier.TooLarge)
+}
--- a/sequencer/snapshot.go
+++ b/sequencer/snapshot.go
@@ -52,10 +52,13 @@
 			f.computeProgress()
 		}
 		s.flows[f.Spec.ID] = f
+		s.heldTasks += len(f.Tasks)
 		if f.State == modeler.FlowPending {
 			s.pending[f.Spec.Queue]++
 		}
-		if f.IsOver() {
+		if !f.IsOver() {
+			s.openFlows++
+		} else {
 			s.endedFlow = append(s.endedFlow, endedFlow{id: f.Spec.ID, at: f.EndedAt})
 		}
 	}
