A wide job leaves room for narrower ones, and proposed jobs count

With the limit of 500,000 held tasks, six jobs of 100,000 tasks that were handed in at once were all accepted, since jobs that were proposed and not committed didn't count, and every small job after them was refused: 5 of 25 accepted. A job may now take half of the room that is left, and proposed jobs count.

--- a/controller/flows.go
+++ b/controller/flows.go
@@ -49,6 +49,8 @@
 	// last decision.
 	overload     dispatcher.Overload
 	refusesFlows bool
+	// proposed is the load of the flows that are proposed but not committed.
+	proposed sequencer.Load
 	// starts and ends are proposed for the log together at nextEntry.
 	starts    []modeler.FlowStart
 	ends      []modeler.FlowEnd
@@ -318,13 +320,20 @@
 		reply(answer)
 		return
 	}
+	flows, load := c.leader.flows, sequencer.Load{}
+	if command.Kind == modeler.SubmitFlow {
+		load = sequencer.LoadOf(command.Flow)
+	}
 	err := c.propose(now, command, func(result modeler.Result) {
+		flows.proposed = flows.proposed.Sub(load)
 		answer.Result = result
 		reply(answer)
 	})
 	if err != nil {
 		reply(errorReply(err))
+		return
 	}
+	flows.proposed = flows.proposed.Add(load)
 }
 
 func errorReply(err error) modeler.Reply {
@@ -424,7 +433,7 @@
 	if err := sequencer.Check(flow); err != nil {
 		return errorReply(err), nil
 	}
-	if err := l.core.state.Flows().CheckRoom(flow); err != nil {
+	if err := l.core.state.Flows().CheckRoom(sequencer.LoadOf(flow), l.proposed); err != nil {
 		return errorReply(err), nil
 	}
 	return modeler.Reply{}, &modeler.Command{Kind: modeler.SubmitFlow, Flow: flow}
--- a/sequencer/sequencer.go
+++ b/sequencer/sequencer.go
@@ -342,19 +342,41 @@
 	return nil
 }
 
-// CheckRoom returns an error of kind QueueFull if a checked flow does not fit beside those that are
-// not over.
-func (s *Sequencer) CheckRoom(f *modeler.Flow) error {
+// Load is what flows take of the room for all flows that are not over.
+type Load struct {
+	Flows int
+	Tasks int
+}
+
+// Add returns the sum of two loads.
+func (l Load) Add(other Load) Load {
+	return Load{Flows: l.Flows + other.Flows, Tasks: l.Tasks + other.Tasks}
+}
+
+// Sub returns the load without another one.
+func (l Load) Sub(other Load) Load {
+	return Load{Flows: l.Flows - other.Flows, Tasks: l.Tasks - other.Tasks}
+}
+
+// LoadOf returns the load of one checked flow.
+func LoadOf(f *modeler.Flow) Load {
 	tasks := 0
 	for i := range f.Steps {
 		tasks += f.Steps[i].Count
 	}
-	tasks *= max(f.Occurrences, 1)
-	switch {
-	case s.heldTasks+tasks > maxHeldTasks:
-		return classifier.New(classifier.QueueFull, "the flow has %d tasks, %d of %d are held", tasks, s.heldTasks, maxHeldTasks)
-	case s.openFlows >= maxHeldFlows:
-		return classifier.New(classifier.QueueFull, "%d of %d flows are held", s.openFlows, maxHeldFlows)
+	return Load{Flows: 1, Tasks: tasks * max(f.Occurrences, 1)}
+}
+
+// CheckRoom returns an error of kind QueueFull if a flow with the given load does not fit beside those
+// that are not over and those that were proposed. A flow may take half of the room for
+// tasks that is left, so that wide flows always leave room for narrower ones.
+func (s *Sequencer) CheckRoom(load, proposed Load) error {
+	held := Load{Flows: s.openFlows, Tasks: s.heldTasks}.Add(proposed)
+	switch left := maxHeldTasks - held.Tasks; {
+	case load.Tasks > max(left/2, 0):
+		return classifier.New(classifier.QueueFull, "the flow has %d tasks, %d are accepted while %d of %d are held", load.Tasks, max(left/2, 0), held.Tasks, maxHeldTasks)
+	case held.Flows >= maxHeldFlows:
+		return classifier.New(classifier.QueueFull, "%d of %d flows are held", held.Flows, maxHeldFlows)
 	default:
 		return nil
 	}
