soak: wide jobs, many waiting ends, tasks that last, kinds of workers that all fail

CHANGED CHECK: a job may be shown as failed if the stand-in workers have failed one of its tasks max_attempts times; before, no worker failed tasks, and failed was always a violation. The bound of a worker's room adds up what its tasks need, since they differ now.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -84,7 +84,7 @@
 func (w *world) runCaller(ctx context.Context) {
 	client := w.newClient(answerTimeout)
 	for ctx.Err() == nil {
-		id := w.newJob()
+		id := w.newJob(usualSteps...)
 		if w.submitJob(client, id) {
 			w.watchJob(ctx, client, id)
 		}
@@ -93,11 +93,11 @@
 }
 
 // newJob registers a job that is to be submitted and returns its id.
-func (w *world) newJob() string {
+func (w *world) newJob(steps ...jobStep) string {
 	id := fmt.Sprintf("%016x", rand.Uint64())
 	w.check.mu.Lock()
 	defer w.check.mu.Unlock()
-	w.check.jobs[id] = &job{spec: specOf(id)}
+	w.check.jobs[id] = &job{spec: specOf(id), steps: steps}
 	return id
 }
 
@@ -105,9 +105,25 @@
 // it.
 func specOf(id string) string { return "spec " + id }
 
-func jobBody(id string) string {
-	step := fmt.Sprintf(`{"count":%d,"cpu":%d,"mem_mb":%d,"estimated_ms":400`, tasksPerStep, taskCores, taskMemory)
-	return fmt.Sprintf(`{"spec":%q,"steps":[%s},%s,"after":[0]}]}`, specOf(id), step, step)
+func (w *world) jobBody(id string) string {
+	w.check.mu.Lock()
+	steps := w.check.jobs[id].steps
+	w.check.mu.Unlock()
+	var text []string
+	for i, s := range steps {
+		step := fmt.Sprintf(`{"count":%d,"cpu":%d,"mem_mb":%d,"estimated_ms":400`, s.tasks, s.cores, taskMemory*s.cores/taskCores)
+		if i > 0 {
+			step += fmt.Sprintf(`,"after":[%d]`, i-1)
+		}
+		if s.gang {
+			step += `,"gang":true`
+		}
+		if s.lasting {
+			step += `,"long_running":true,"requirements":"b"`
+		}
+		text = append(text, step+"}")
+	}
+	return fmt.Sprintf(`{"spec":%q,"steps":[%s]}`, specOf(id), strings.Join(text, ","))
 }
 
 // submitJob submits a job, repeats the call after a refusal or no answer, and
@@ -116,7 +132,7 @@
 func (w *world) submitJob(client *http.Client, id string) bool {
 	mayBeAccepted := false
 	for range submitAttempts {
-		status, _ := send(client, http.MethodPost, w.offsetAddress(w.randomEntry().host, 1), queuePath+id, jobBody(id))
+		status, _ := send(client, http.MethodPost, w.offsetAddress(w.randomEntry().host, 1), queuePath+id, w.jobBody(id))
 		switch {
 		case status >= 200 && status < 300:
 			w.check.noteAccepted(id)
@@ -165,7 +181,7 @@
 }
 
 // pollJob asks one process for a job's state, checks the answer, and reports
-// whether the job has completed or was cancelled.
+// whether the job is over.
 func (w *world) pollJob(client *http.Client, id string, p *process) bool {
 	sent := time.Now()
 	state := w.askState(client, id, p)
@@ -173,7 +189,7 @@
 		return false
 	}
 	w.check.checkState(id, state, p.name, sent)
-	return state == "completed" || state == "cancelled"
+	return state == "completed" || state == "cancelled" || state == "failed"
 }
 
 // askState asks one process for a job's state: "gone" if it isn't known, and empty
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -14,15 +14,14 @@
 	// after a newer one was acknowledged. Both come from the platform's pages.
 	cancelLimit = 3 * time.Second
 	applyLimit  = 2 * time.Second
-	// stepsPerJob is the number of steps of each job, and tasksPerStep the
-	// number of tasks of each step.
-	stepsPerJob  = 2
+	// tasksPerStep is the number of tasks of each step of a usual job.
 	tasksPerStep = 3
 )
 
 // job holds what callers have sent and been told about one job.
 type job struct {
 	spec        string
+	steps       []jobStep
 	acceptedAt  time.Time
 	cancelledAt time.Time
 	// cancelSent is set before a cancel is sent, which may be carried out
@@ -47,7 +46,9 @@
 	acknowledgedDone map[string]bool
 	// doneTasks holds the names of the tasks that some worker has completed.
 	doneTasks map[string]bool
-	starts    int
+	// failures counts the attempts of each task that have failed.
+	failures map[string]int
+	starts   int
 	// violations lists the broken promises.
 	violations []string
 	versions   []acknowledgement
@@ -67,6 +68,7 @@
 	return &check{
 		jobs: make(map[string]*job), runningOn: make(map[string]string),
 		acknowledgedDone: make(map[string]bool), doneTasks: make(map[string]bool),
+		failures:     make(map[string]int),
 		acknowledged: make(chan struct{}, 1),
 	}
 }
@@ -143,8 +145,8 @@
 }
 
 // checkStart checks the start of a task on a worker and returns how long the task
-// is to run.
-func (c *check) checkStart(s *worker, order *imitator.Order) time.Duration {
+// is to run, and its step. The caller holds the worker's lock.
+func (c *check) checkStart(s *worker, order *imitator.Order) (time.Duration, jobStep) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.starts++
@@ -152,7 +154,7 @@
 	switch {
 	case j == nil:
 		c.addViolation("task %s of a job that nobody submitted", order.Task)
-		return 0
+		return 0, jobStep{}
 	case j.spec != order.Spec:
 		c.addViolation("task %s with another spec", order.Task)
 	case j.refused:
@@ -167,14 +169,17 @@
 		c.addViolation("task %s started again on %s after its end was acknowledged", order.Task, s.id)
 	}
 	if step := stepOf(order.Task); step > 0 {
-		for i := range tasksPerStep {
+		for i := range j.steps[step-1].tasks {
 			if earlier := fmt.Sprintf("%s.0.%d.%d", jobIDOf(order.Task), step-1, i); !c.doneTasks[earlier] {
 				c.addViolation("task %s started before %s was done", order.Task, earlier)
 			}
 		}
 	}
 	c.runningOn[order.Task] = s.id
-	return time.Duration(200+len(order.Task)*7%400) * time.Millisecond
+	if s.failing {
+		return failureTime, j.steps[stepOf(order.Task)]
+	}
+	return time.Duration(200+len(order.Task)*7%400) * time.Millisecond, j.steps[stepOf(order.Task)]
 }
 
 // taskEnded records the end of a task on a worker. The state is the one that the
@@ -185,8 +190,11 @@
 	if c.runningOn[name] == worker {
 		delete(c.runningOn, name)
 	}
-	if state == "done" {
+	switch state {
+	case "done":
 		c.doneTasks[name] = true
+	case "failed":
+		c.failures[name]++
 	}
 }
 
@@ -227,12 +235,13 @@
 		}
 		j.lost = true
 		c.addViolation("%s does not know job %s, accepted %v before", from, id, sent.Sub(j.acceptedAt))
-	case state == "cancelled" && !j.cancelSent, state == "failed":
+	case state == "cancelled" && !j.cancelSent, state == "failed" && !c.mayHaveFailed(id):
 		c.addViolation("%s shows job %s as %s without a cause", from, id, state)
 	case state == "completed":
-		for s := range stepsPerJob {
-			for i := range tasksPerStep {
-				if name := fmt.Sprintf("%s.0.%d.%d", id, s, i); !c.doneTasks[name] {
+		for s, step := range j.steps {
+			for i := range step.tasks {
+				// The end of one member of a gang stands for all.
+				if name := fmt.Sprintf("%s.0.%d.%d", id, s, i); !c.doneTasks[name] && !step.gang {
 					c.addViolation("%s shows job %s as completed before %s is done", from, id, name)
 				}
 			}
@@ -241,7 +250,7 @@
 	if j.finalState != "" && state != j.finalState && state != "gone" {
 		c.addViolation("job %s was %s and is %s", id, j.finalState, state)
 	}
-	if state == "completed" || state == "cancelled" {
+	if state == "completed" || state == "cancelled" || state == "failed" {
 		j.finalState = state
 	}
 }
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -65,6 +65,10 @@
 	s := w.workers[w.random.IntN(len(w.workers))]
 	span := time.Duration(300+w.random.IntN(3000)) * time.Millisecond
 	kind := w.random.IntN(faultKinds)
+	if w.settings.Mass && w.random.IntN(4) == 0 {
+		w.failKind(span)
+		return
+	}
 	switch kind {
 	case killControl, stopControl, pauseControl, delayLinks, silenceLinks, cutLinks:
 		if !w.mayDisturb(slot) {
@@ -186,5 +190,6 @@
 	}
 	for _, s := range w.workers {
 		s.setLateShare(0)
+		s.setFailing(false)
 	}
 }
--- a/soaker/recovery.go
+++ b/soaker/recovery.go
@@ -49,7 +49,7 @@
 	}
 	for _, p := range w.entries {
 		client := w.newClient(answerTimeout)
-		id := w.newJob()
+		id := w.newJob(usualSteps...)
 		expect(func() string { return w.probeEntry(client, p, id) })
 	}
 	expect(func() string {
@@ -71,7 +71,7 @@
 // probeEntry submits a job to an entry process and returns the failure, or an empty
 // string if the job was accepted.
 func (w *world) probeEntry(client *http.Client, p *process, id string) string {
-	status, _ := send(client, http.MethodPost, w.offsetAddress(p.host, 1), queuePath+id, jobBody(id))
+	status, _ := send(client, http.MethodPost, w.offsetAddress(p.host, 1), queuePath+id, w.jobBody(id))
 	if status < 200 || status >= 300 {
 		return fmt.Sprintf("%s has accepted no job, status %d at last,", p.name, status)
 	}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -33,6 +33,8 @@
 	// Overlap adds to the replacements partitions of the control hosts, disks lost
 	// during planned replacements and signals in series.
 	Overlap bool
+	// Mass adds wide jobs, tasks that last, and workers of a kind that all fail.
+	Mass bool
 }
 
 const (
@@ -139,12 +141,19 @@
 		callers.Go(func() { w.runCaller(running) })
 	}
 	w.sleep(startupTime)
+	var lasting []string
+	if settings.Mass {
+		random := rand.New(rand.NewPCG(settings.Seed, 3))
+		lasting = w.startLasting(random)
+		callers.Go(func() { w.runMass(running, random) })
+	}
 	w.bootstrap.Store(false)
 	w.injectAllFaults(settings.Length)
 	recovered := w.awaitRecovery()
 	end()
 	callers.Wait()
 	if recovered {
+		w.endLasting(lasting)
 		w.checkEnd()
 		w.awaitJobs()
 	}
@@ -229,7 +238,7 @@
 		w.entries = append(w.entries, p)
 	}
 	for i := range w.settings.Workers {
-		s, err := newWorker(w, fmt.Sprintf("i-%d", i+1), w.linkAddress(w.ip(workerAddress, i)))
+		s, err := newWorker(w, fmt.Sprintf("i-%d", i+1), w.kindOf(i), w.linkAddress(w.ip(workerAddress, i)))
 		if err != nil {
 			return err
 		}
--- a/soaker/worker.go
+++ b/soaker/worker.go
@@ -30,12 +30,15 @@
 	// out late and gets no answer.
 	minLateDelay = 2 * time.Second
 	maxLateDelay = 6 * time.Second
+	// maxListedEnds is the most ends that a worker lists in one answer.
+	maxListedEnds = 500
 )
 
 // worker is a stand-in upstream that follows the platform's contract for workers.
 type worker struct {
 	world   *world
 	id      string
+	kind    string
 	address string
 	server  *http.Server
 
@@ -60,6 +63,8 @@
 	// lateShare is the share of orders, from 0 to 1, that get no answer and are
 	// carried out late.
 	lateShare float64
+	// failing means that the worker fails all that it starts.
+	failing bool
 }
 
 // order is an order that has arrived at a worker.
@@ -74,6 +79,8 @@
 	endsAt   time.Time
 	duration time.Duration
 	late     bool
+	step     jobStep
+	fails    bool
 }
 
 type taskEnd struct {
@@ -83,8 +90,8 @@
 	state   string
 }
 
-func newWorker(w *world, id, address string) (*worker, error) {
-	s := &worker{world: w, id: id, address: address, clockRate: 1 - 0.02*w.random.Float64()}
+func newWorker(w *world, id, kind, address string) (*worker, error) {
+	s := &worker{world: w, id: id, kind: kind, address: address, clockRate: 1 - 0.02*w.random.Float64()}
 	s.reset()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -216,10 +223,10 @@
 		return http.StatusConflict, answer
 	}
 	s.highestAttempt[b.Task] = b.Attempt
-	length := s.world.check.checkStart(s, &b.Order)
-	s.running[b.Task] = &task{attempt: b.Attempt, endsAt: time.Now().Add(length), duration: length, late: b.Wait < 0}
-	if n := len(s.running); n*taskCores > workerCPU {
-		s.world.check.recordViolation("worker %s runs %d tasks of %d millicores", s.id, n, taskCores)
+	length, step := s.world.check.checkStart(s, &b.Order)
+	s.running[b.Task] = &task{attempt: b.Attempt, endsAt: time.Now().Add(length), duration: length, late: b.Wait < 0, step: step, fails: s.failing}
+	if used := s.usedCores(); used > workerCPU {
+		s.world.check.recordViolation("worker %s runs %d tasks of %d millicores in all", s.id, len(s.running), used)
 	}
 	return http.StatusOK, answer
 }
@@ -275,10 +282,13 @@
 	running, ended := [][]any{}, [][]any{}
 	for name, t := range s.running {
 		rest := time.Until(t.endsAt)
-		percent := 100 - int(100*max(rest, 0)/max(t.duration, 1))
-		running = append(running, []any{name, t.attempt, "", min(percent, 99), 0})
+		percent := min(100-int(100*max(rest, 0)/max(t.duration, 1)), 99)
+		if t.step.lasting && rest <= 0 {
+			percent = 100
+		}
+		running = append(running, []any{name, t.attempt, "", percent, 0})
 	}
-	for _, e := range s.ended {
+	for _, e := range s.ended[:min(len(s.ended), maxListedEnds)] {
 		ended = append(ended, []any{e.number, e.name, e.attempt, e.state, ""})
 	}
 	answer.Clock, answer.Running, answer.Ended = s.clock(), running, ended
@@ -310,7 +320,10 @@
 			switch {
 			case leaseExpired:
 				s.endTask(name, "lapsed")
-			case time.Now().After(t.endsAt):
+			case time.Now().Before(t.endsAt):
+			case t.fails:
+				s.endTask(name, "failed")
+			case !t.step.lasting:
 				s.endTask(name, "done")
 			}
 		}
@@ -326,7 +339,7 @@
 		s.mu.Lock()
 		s.sequence++
 		isDown, controlAddress := s.isDown, s.controlAddress
-		body, err := imitator.Announcement(s.address, workerCPU, workerMemory, s.clock(), s.startedAt.UnixMilli(), s.sequence)
+		body, err := imitator.Announcement(s.address, s.kind, workerCPU, workerMemory, s.clock(), s.startedAt.UnixMilli(), s.sequence)
 		s.mu.Unlock()
 		if err != nil {
 			panic(err)
