--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -267,7 +267,7 @@
 			Bounds: dispatcher.Settings{
 				MaxLease: node.MaxLease, MaxStopTime: node.MaxStopTime, GangTimeout: node.GangTimeout, MaxTimeOverTarget: node.MaxTimeOverTarget,
 				MaxListedEnds: platform.MaxListedEnds,
-				Log: func(event string, pairs ...any) { p.report.Info(event, pairs...) },
+				Log:           func(event string, pairs ...any) { p.report.Info(event, pairs...) },
 			},
 			Send: p.client.Send,
 		},
