router: the last worker of a service is not excluded

Callers got no answer until the exclusion ended, though the worker had recovered.

TestLastWorkerOfServiceIsNotExcluded fails before (the worker is excluded after 40 lost answers).

--- a/router/router_test.go
+++ b/router/router_test.go
@@ -601,3 +601,19 @@
 		}
 	}
 }
+
+// Guards against a service that serves nothing for up to 30 s after its only worker has
+// failed for a moment: excluding a worker helps only if another one can take over.
+func TestLastWorkerOfServiceIsNotExcluded(t *testing.T) {
+	h := newHarness(t, modeler.Service{Limit: modeler.Duration(5 * time.Second)})
+	h.grant(h.lendSlots(2, "w"))
+	h.raiseArrivalRate()
+	for range 40 {
+		h.now++
+		h.finish(h.arrive(), classifier.AnswerLost)
+	}
+	assert.Assert(t, !h.Workers()[0].Excluded)
+	before := len(h.assigned)
+	h.arrive()
+	assert.Equal(t, len(h.assigned), before+1, "the request was not sent")
+}
--- a/router/stock.go
+++ b/router/stock.go
@@ -176,13 +176,21 @@
 	case classifier.ConnectFailed, classifier.SendFailed, classifier.AnswerLost,
 		classifier.AnswerTruncated, classifier.AnswerTimeout:
 		s.failures++
-		if s.failures >= failureLimit && s.excluded == 0 && r.mayExclude() {
+		if s.failures >= failureLimit && s.excluded == 0 && r.mayExclude(s) {
 			r.exclude(s)
 		}
 	}
 }
 
-func (r *Router) mayExclude() bool {
+// mayExclude reports whether the worker may be excluded: not beyond the bound, and not
+// if a service would have no worker left. When all workers of a service fail, requests
+// find out on them when they have recovered.
+func (r *Router) mayExclude(s *workerSlots) bool {
+	for _, service := range s.services {
+		if !slices.ContainsFunc(service.workers, func(other *workerSlots) bool { return other != s && !other.revoked && other.excluded == 0 }) {
+			return false
+		}
+	}
 	excluded, all := 0, 0
 	for _, s := range r.workers {
 		if s.excluded != 0 {
