--- a/dispatcher/width_test.go
+++ b/dispatcher/width_test.go
@@ -234,3 +234,34 @@
 	assert.Equal(t, r.flowState("scheduled"), modeler.FlowCompleted)
 	assert.Equal(t, len(r.startOrder), 1500*3)
 }
+
+// BenchmarkTakeOver measures how long a new leader takes to build its state at the limits
+// of what jobs may hold.
+func BenchmarkTakeOver(b *testing.B) {
+	for _, size := range []struct{ flows, tasks int }{{5, 100_000}, {500, 1000}, {10_000, 50}} {
+		b.Run(fmt.Sprintf("%d-flows-of-%d", size.flows, size.tasks), func(b *testing.B) {
+			var flows []modeler.Flow
+			for i := range size.flows {
+				flows = append(flows, flow(modeler.FlowID(fmt.Sprintf("%016x", i)), smallTasks(size.tasks)))
+			}
+			c := newWidthCell(flows...)
+			c.play(1500, modeler.EndDone)
+			for b.Loop() {
+				c.elect()
+			}
+		})
+	}
+}
+
+// BenchmarkSnapshotCopy measures the copy of the state for a snapshot, which is made
+// between two decisions of a leader, at the same limits.
+func BenchmarkSnapshotCopy(b *testing.B) {
+	s := sequencer.New()
+	for i := range 5 {
+		f := flow(modeler.FlowID(fmt.Sprint(i)), smallTasks(100_000))
+		s.Submit(1, &f)
+	}
+	for b.Loop() {
+		s.TakeSnapshot()
+	}
+}
--- a/sequencer/sequencer.go
+++ b/sequencer/sequencer.go
@@ -22,7 +22,7 @@
 	// these flows, so that they fit into the memory of every member, and a new leader
 	// takes them over well within its lease (docs/CAPACITY.md).
 	maxHeldTasks = 500_000
-	maxHeldFlows = 20_000
+	maxHeldFlows = 10_000
 	// maxDuration bounds each duration in a flow to a year, and maxAmount each
 	// resource that a task needs, bytes of memory included, to 1<<50 (a pebibyte),
 	// so that sums over all tasks and occurrences of a flow can't overflow.
@@ -73,6 +73,9 @@
 	tasksPerOccurrence int
 	// progress summarizes the steps of all occurrences.
 	progress []stepProgress
+	// tasksShared means that a snapshot reads Tasks, so that they are copied before the
+	// next change.
+	tasksShared bool
 }
 
 // IsOver reports whether the flow has ended, so that none of its tasks may start
@@ -487,6 +490,7 @@
 		if f == nil || f.IsOver() {
 			continue
 		}
+		f.ownTasks()
 		t := f.Task(start.Task)
 		if t == nil || t.Phase != TaskWaiting || t.Worker != "" || start.Attempt <= t.Attempt {
 			continue
@@ -514,6 +518,7 @@
 	if f == nil {
 		return
 	}
+	f.ownTasks()
 	t := f.Task(end.Task)
 	if t == nil {
 		return
--- a/sequencer/sequencer_test.go
+++ b/sequencer/sequencer_test.go
@@ -320,3 +320,18 @@
 	narrow.Steps = make([]modeler.Step, 10_001)
 	assert.Equal(t, classifier.KindOf(sequencer.Check(narrow)), classifier.TooLarge)
 }
+
+// Guards against a snapshot that changes while it is written, since it shares the tasks
+// with the state until these change.
+func TestSnapshotDoesNotChange(t *testing.T) {
+	s := newState()
+	s.Submit(1, oneStepFlow("f", 2))
+	first := s.TakeSnapshot()
+	s.RecordStarts(start("f", 0, 1))
+	second := s.TakeSnapshot()
+	s.RecordEnds(2, end("f", 0, 1, modeler.EndDone))
+	assert.Equal(t, first.Flows[0].Tasks[0].Phase, sequencer.TaskWaiting)
+	assert.Equal(t, second.Flows[0].Tasks[0].Phase, sequencer.TaskPlaced)
+	held, _ := s.Flow("f")
+	assert.Equal(t, held.Tasks[0].Phase, sequencer.TaskDone)
+}
--- a/sequencer/snapshot.go
+++ b/sequencer/snapshot.go
@@ -20,8 +20,8 @@
 func (s *Sequencer) TakeSnapshot() Snapshot {
 	out := Snapshot{Layout: s.layout, Flows: make([]Flow, 0, len(s.flows))}
 	for _, f := range s.flows {
+		f.tasksShared = true
 		c := *f
-		c.Tasks = slices.Clone(f.Tasks)
 		c.progress = nil
 		out.Flows = append(out.Flows, c)
 	}
@@ -34,6 +34,14 @@
 	return out
 }
 
+// ownTasks copies the tasks if a snapshot reads them.
+func (f *Flow) ownTasks() {
+	if f.tasksShared {
+		f.Tasks = slices.Clone(f.Tasks)
+		f.tasksShared = false
+	}
+}
+
 // Sort orders the content so that equal states have equal encodings.
 func (s *Snapshot) Sort() {
 	slices.SortFunc(s.Flows, func(a, b Flow) int { return cmp.Compare(a.Spec.ID, b.Spec.ID) })
