--- a/dispatcher/occurrence.go
+++ b/dispatcher/occurrence.go
@@ -12,8 +12,9 @@
 	// occurrenceLead is how long before it is due an occurrence gets its units: longer
 	// than permits are requested ahead.
 	occurrenceLead = 5 * time.Second
-	// maxUnitsAdded bounds the units of occurrences that one tick adds to a flow.
-	maxUnitsAdded = 1000
+	// maxScheduledUnits bounds the units of a scheduled flow: more occurrences than a tick
+	// can start get theirs once others are done.
+	maxScheduledUnits = 1000
 )
 
 // flowUnits holds the units of a flow that is not over. A scheduled flow has units for
@@ -29,7 +30,7 @@
 // addOccurrences adds the units of the next occurrences of a flow.
 func (d *Dispatcher) addOccurrences(now modeler.ClockReading, fl *flowUnits) {
 	first := len(fl.units)
-	for ; fl.next < fl.flow.Occurrences() && len(fl.units)-first < maxUnitsAdded; fl.next++ {
+	for ; fl.next < fl.flow.Occurrences() && (fl.next == 0 || len(fl.units) < maxScheduledUnits); fl.next++ {
 		if fl.flow.Spec.Occurrences > 0 && d.dueTime(fl.flow, fl.next) > d.stamp.Add(occurrenceLead) {
 			break
 		}
--- a/dispatcher/quarantine.go
+++ b/dispatcher/quarantine.go
@@ -115,8 +115,8 @@
 // hasOtherWorker reports whether the step may use a worker that is not quarantined,
 // whether it has room or not.
 func (d *Dispatcher) hasOtherWorker(now modeler.ClockReading, u *unit) bool {
-	d.examined += len(d.hostList)
 	for _, h := range d.hostList {
+		d.examined++
 		if u.suits(h) && !u.denied[h.worker.ID] && !h.isQuarantined(now) && d.outOfService(now, h) == "" {
 			return true
 		}
--- a/sequencer/progress.go
+++ b/sequencer/progress.go
@@ -12,10 +12,29 @@
 type stepProgress struct {
 	// open counts the tasks that are not done, and occupied those whose newest
 	// attempt may still run.
-	open     int
-	occupied int
-	// failed lists the failed attempts of a gang.
-	failed []modeler.Attempt
+	open     int32
+	occupied int32
+	// failed lists the failed attempts of a gang; nil until there are some.
+	failed *[]modeler.Attempt
+}
+
+// addFailed adds failed attempts of a gang.
+func (p *stepProgress) addFailed(attempts ...modeler.Attempt) {
+	if len(attempts) == 0 {
+		return
+	}
+	if p.failed == nil {
+		p.failed = new([]modeler.Attempt)
+	}
+	*p.failed = append(*p.failed, attempts...)
+}
+
+// failedAttempts returns the failed attempts of a gang.
+func (p *stepProgress) failedAttempts() []modeler.Attempt {
+	if p.failed == nil {
+		return nil
+	}
+	return *p.failed
 }
 
 // progressOf returns the summary of a step.
@@ -23,6 +42,14 @@
 	return &f.progress[int(key.Occurrence)*len(f.Spec.Steps)+int(key.Step)]
 }
 
+// resetProgress sets the summaries of a flow of which nothing has started.
+func (f *Flow) resetProgress() {
+	f.progress = make([]stepProgress, f.Occurrences()*len(f.Spec.Steps))
+	for i := range f.progress {
+		f.progress[i].open = int32(f.Spec.Steps[i%len(f.Spec.Steps)].Count)
+	}
+}
+
 // computeProgress computes the summaries of all steps from their tasks.
 func (f *Flow) computeProgress() {
 	f.progress = make([]stepProgress, f.Occurrences()*len(f.Spec.Steps))
@@ -40,7 +67,7 @@
 					p.occupied++
 				}
 				if f.Spec.Steps[s].Gang {
-					p.failed = append(p.failed, t.FailedAttempts...)
+					p.addFailed(t.FailedAttempts...)
 				}
 			}
 		}
@@ -90,7 +117,7 @@
 
 // gangHasFailed reports whether a failure of the gang's attempt is recorded.
 func (f *Flow) gangHasFailed(key modeler.StepKey, attempt modeler.Attempt) bool {
-	return slices.Contains(f.progressOf(key).failed, attempt)
+	return slices.Contains(f.progressOf(key).failedAttempts(), attempt)
 }
 
 // Failures returns how many attempts of a task, or of its gang, have failed.
@@ -106,5 +133,5 @@
 	if !f.Spec.Steps[key.Step].Gang {
 		return len(t.FailedAttempts)
 	}
-	return len(f.progressOf(key).failed)
+	return len(f.progressOf(key).failedAttempts())
 }
--- a/sequencer/sequencer.go
+++ b/sequencer/sequencer.go
@@ -300,7 +300,7 @@
 	f.computeOffsets()
 	f.OpenTasks = f.tasksPerOccurrence * f.Occurrences()
 	f.Tasks = make([]Task, f.OpenTasks)
-	f.computeProgress()
+	f.resetProgress()
 	s.openFlows++
 	s.heldTasks += len(f.Tasks)
 	s.flows[spec.ID] = f
@@ -637,8 +637,7 @@
 	}
 	t.FailedAttempts = append(t.FailedAttempts, end.Attempt)
 	if isGang {
-		p := f.progressOf(key)
-		p.failed = append(p.failed, end.Attempt)
+		f.progressOf(key).addFailed(end.Attempt)
 	}
 }
 
