--- a/dispatcher/occurrence.go
+++ b/dispatcher/occurrence.go
@@ -12,8 +12,8 @@
 	// occurrenceLead is how long before it is due an occurrence gets its units: longer
 	// than permits are requested ahead.
 	occurrenceLead = 5 * time.Second
-	// maxScheduledUnits bounds the units of a scheduled flow: more occurrences than a tick
-	// can start get theirs once others are done.
+	// maxScheduledUnits bounds the units of a scheduled flow with tasks that wait for
+	// room: further occurrences get their units once others have got workers.
 	maxScheduledUnits = 1000
 )
 
@@ -30,7 +30,13 @@
 // addOccurrences adds the units of the next occurrences of a flow.
 func (d *Dispatcher) addOccurrences(now modeler.ClockReading, fl *flowUnits) {
 	first := len(fl.units)
-	for ; fl.next < fl.flow.Occurrences() && (fl.next == 0 || len(fl.units) < maxScheduledUnits); fl.next++ {
+	waiting := 0
+	for _, u := range fl.units {
+		if u.ready && u.waiting.len() > 0 {
+			waiting++
+		}
+	}
+	for ; fl.next < fl.flow.Occurrences() && (fl.next == 0 || waiting+len(fl.units)-first < maxScheduledUnits); fl.next++ {
 		if fl.flow.Spec.Occurrences > 0 && d.dueTime(fl.flow, fl.next) > d.stamp.Add(occurrenceLead) {
 			break
 		}
--- a/dispatcher/width_test.go
+++ b/dispatcher/width_test.go
@@ -235,6 +235,20 @@
 	assert.Equal(t, len(r.startOrder), 1500*3)
 }
 
+// Guards against occurrences that are due and never run because many earlier ones last.
+func TestOccurrencesThatLastDoNotHoldUpOthers(t *testing.T) {
+	r := newRig(t, 1)
+	r.addWorkers(2, 16)
+	s := smallTasks(1)
+	s.Need = modeler.Resources{Processors: 10, Memory: 1 << 20}
+	s.LongRunning = true
+	f := flow("scheduled", s)
+	f.Occurrences = 1200
+	r.submit(f)
+	r.run(2 * time.Second)
+	assert.Equal(t, r.runningTasks("scheduled"), 1200)
+}
+
 // BenchmarkTakeOver measures how long a new leader takes to build its state at the limits
 // of what jobs may hold.
 func BenchmarkTakeOver(b *testing.B) {
