--- a/cmd/goldcreststack/entry_test.go
+++ b/cmd/goldcreststack/entry_test.go
@@ -38,6 +38,8 @@
 	b := &balancer{s: s, client: &http.Client{Timeout: 20 * time.Second}, ready: make(map[string]bool)}
 	for _, entryAddress := range s.entryAddresses {
 		b.ready[entryAddress] = true
+	}
+	for _, entryAddress := range s.entryAddresses {
 		go b.probe(ctx, entryAddress)
 	}
 	return b
