--- a/soaker/check.go
+++ b/soaker/check.go
@@ -160,7 +160,7 @@
 	case j.refused:
 		c.addViolation("task %s of a job that was refused", order.Task)
 	case !j.cancelledAt.IsZero() && time.Since(j.cancelledAt) > cancelLimit && order.Wait >= 0:
-		c.addViolation("task %s started %v after its cancel", order.Task, time.Since(j.cancelledAt))
+		c.addViolation("task %s started %v after its cancel, by an order that was sent %v before", order.Task, time.Since(j.cancelledAt), s.ageOf(order))
 	}
 	if other := c.runningOn[order.Task]; other != "" && other != s.id {
 		c.addViolation("task %s runs on %s and on %s", order.Task, other, s.id)
--- a/soaker/worker.go
+++ b/soaker/worker.go
@@ -204,6 +204,12 @@
 	return answer, true
 }
 
+// ageOf returns how long ago an order was sent, by the lease that it grants; the caller
+// holds the lock.
+func (s *worker) ageOf(o *imitator.Order) time.Duration {
+	return time.Duration(s.clock()-o.Deadline)*time.Millisecond + maxLease
+}
+
 func (s *worker) startTask(b *order) (int, *imitator.Answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
