--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -15,6 +15,7 @@
 var cases = map[string]func(*world) error{
 	"late-start":    lateStart,
 	"crash-in-stop": crashInStop,
+	"budget":        budget,
 	"backfill":      backfill,
 	"queue-count":   queueCount,
 }
--- a/review/_stand2/worker.go
+++ b/review/_stand2/worker.go
@@ -37,6 +37,10 @@
 	hold func(path string, o *order) time.Duration
 	// failing means that the worker fails all that it starts.
 	failing bool
+	// tail is the tail latency of the tasks that serve, in milliseconds.
+	tail int
+	// ended, if set, is called when a stop has ended a task that was at work.
+	ended func(name string)
 	// shedding means that the worker refuses all starts; requests and refused count what
 	// it gets meanwhile.
 	shedding          bool
@@ -68,10 +72,14 @@
 	endsAt   time.Time
 	duration time.Duration
 	lasts    bool
+	serves   bool
 	fails    bool
 	stopping bool
 }
 
+// isAtWork reports whether a task that lasts is at work.
+func (t *task) isAtWork() bool { return t.lasts && !time.Now().Before(t.endsAt) }
+
 type taskEnd struct {
 	number int
 	name   string
@@ -88,12 +96,15 @@
 	Fence    uint64 `json:"fencing_token"`
 	Cursor   int    `json:"ack_cursor"`
 	Wait     int    `json:"wait_ms"`
+	Percent  int    `json:"percent"`
 }
 
 // work is what a job's spec tells the stand-in workers about its tasks.
 type work struct {
 	Ms    int  `json:"ms"`
 	Lasts bool `json:"lasts"`
+	// Serves means that the tasks have a tail latency.
+	Serves bool `json:"serves"`
 }
 
 type answer struct {
@@ -126,7 +137,7 @@
 	mux.HandleFunc("POST /-/run-start", s.receive(l, l.startTask))
 	mux.HandleFunc("POST /-/run-stop", s.receive(l, l.stopTask))
 	mux.HandleFunc("POST /-/hold", s.receive(l, l.renew))
-	mux.HandleFunc("POST /-/pace", s.receive(l, func(*order) (int, *answer) { return http.StatusOK, &answer{Clock: l.clock()} }))
+	mux.HandleFunc("POST /-/pace", s.receive(l, l.pace))
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	l.server = &http.Server{Handler: mux}
 	s.mu.Lock()
@@ -325,7 +336,7 @@
 	}
 	now := time.Now()
 	duration := time.Duration(job.Ms) * time.Millisecond
-	l.running[o.Task] = &task{run: o.Run, endsAt: now.Add(duration), duration: duration, lasts: job.Lasts, fails: s.failing}
+	l.running[o.Task] = &task{run: o.Run, endsAt: now.Add(duration), duration: duration, lasts: job.Lasts, serves: job.Serves, fails: s.failing}
 	if s.failing {
 		l.running[o.Task].endsAt = now.Add(50 * time.Millisecond)
 	}
@@ -333,6 +344,19 @@
 	return http.StatusOK, a
 }
 
+// pace accepts an order to pace a task. The stand-in's tasks that fill have no effect on
+// others, so their pace has none.
+func (l *life) pace(o *order) (int, *answer) {
+	l.worker.mu.Lock()
+	defer l.worker.mu.Unlock()
+	a, ok := l.accept(o)
+	if !ok {
+		return http.StatusConflict, a
+	}
+	l.worker.world.logf("worker %s: pace of %s run %d is %d", l.worker.id, o.Task, o.Run, o.Percent)
+	return http.StatusOK, a
+}
+
 func (l *life) stopTask(o *order) (int, *answer) {
 	s := l.worker
 	s.mu.Lock()
@@ -354,8 +378,13 @@
 		time.AfterFunc(s.stopTime, func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			if l.running[o.Task] == t {
-				l.endTask(o.Task, "stopped")
+			if l.running[o.Task] != t {
+				return
+			}
+			wasAtWork := t.isAtWork()
+			l.endTask(o.Task, "stopped")
+			if wasAtWork && s.ended != nil {
+				s.ended(o.Task)
 			}
 		})
 	}
@@ -395,7 +424,11 @@
 		if !t.lasts {
 			percent = min(percent, 99)
 		}
-		a.Running = append(a.Running, []any{name, t.run, "", max(percent, 0), 0})
+		load := 0
+		if t.serves {
+			load = s.tail
+		}
+		a.Running = append(a.Running, []any{name, t.run, "", max(percent, 0), load})
 	}
 	for _, e := range l.ended[:min(len(l.ended), maxListedEnds)] {
 		a.Ended = append(a.Ended, []any{e.number, e.name, e.run, e.how, ""})
