--- a/review/_stand2/cases.go
+++ b/review/_stand2/cases.go
@@ -24,7 +24,7 @@
 	if err := w.startCluster(3, 2, layout(5, queue("/lasting/", 1, 2), queue("/short/", 0, 3))); err != nil {
 		return err
 	}
-	if err := w.startWorkers(6, func(int) string { return "a" }); err != nil {
+	if err := w.startWorkers(16, func(int) string { return "a" }); err != nil {
 		return err
 	}
 	var mu sync.Mutex
--- a/review/_stand2/more.go
+++ b/review/_stand2/more.go
@@ -14,7 +14,7 @@
 	if err := w.startCluster(3, 2, layout(5, queue("/lasting/", 1, 2), queue("/short/", 0, 3))); err != nil {
 		return err
 	}
-	if err := w.startWorkers(6, func(int) string { return "a" }); err != nil {
+	if err := w.startWorkers(16, func(int) string { return "a" }); err != nil {
 		return err
 	}
 	if err := w.submit("/lasting/00000000000000a1", `{"ms":300,"lasts":true}`, step(2, 2000, 1024, 500, map[string]any{"long_running": true})); err != nil {
