A worker that comes back refuses orders to its earlier generations

Cause: starts without an answer were remembered in the leader's host object, which a departure or 6 s of silence removes, and the fencing token was the term, the same for all generations of a worker. The log of the old code shows the start's fate "silent", the departure with 0 attempts, and the stop only after the late run was listed ("nobody waits for it", 6.0 s after "worker known"). Ruled out: a start repeated to the new generation (no such line), a generation that was not noticed ("worker known" names the new one).

Change: the fencing token is the term and a count of the workers added since, so the first renewal of a worker that comes back shuts out all earlier orders of any kind, however late. The memory of starts is removed, orders are addressed in one place (send), and carriers read the term from the token.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -50,6 +50,9 @@
 	// restoring is set while a new leader takes the replicated state over.
 	restoring bool
 	hosts     map[modeler.WorkerID]*host
+	// registrations counts the hosts that were added since the term began, without those
+	// that were taken over.
+	registrations uint64
 	// hostList holds the values of hosts in the order in which they were added;
 	// hostsAt groups them by network address.
 	hostList []*host
@@ -231,12 +234,13 @@
 // renewals first, since each placement causes more events.
 const maxPlacementLag = 250 * time.Millisecond
 
-func (d *Dispatcher) send(o modeler.Order) {
-	o.Term = d.term
+// send sends an order to a generation of a worker.
+func (d *Dispatcher) send(h *host, o modeler.Order) {
+	o.Worker, o.Generation, o.Address, o.Fence = h.worker.ID, h.worker.Generation, h.worker.Address, h.fence
 	o.Timeout = orderTimeout
 	// First renewals keep the longer orderTimeout: on a new leader many of them
 	// compete for the processor.
-	if o.Kind == modeler.RenewOrder && d.hosts[o.Worker].hasAnswered {
+	if o.Kind == modeler.RenewOrder && h.hasAnswered {
 		o.Timeout = o.Wait + renewTimeout
 	}
 	d.out.Orders = append(d.out.Orders, o)
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -57,8 +57,6 @@
 	// there before the leases expired would otherwise run again. It is also how long the
 	// leader waits for the next part of a list.
 	endsAwaitPeriod = 15 * time.Second
-	// lateStartPeriod is how long a start without an answer may still be delivered.
-	lateStartPeriod = 30 * time.Second
 	// departureRetryInterval is the time between two attempts to record that a
 	// worker has departed.
 	departureRetryInterval = time.Second
@@ -74,6 +72,10 @@
 type host struct {
 	// worker is the worker's committed announcement.
 	worker modeler.WorkerAnnouncement
+	// fence is the fencing token of the orders to this generation. It is higher than
+	// those of all orders that were sent to the worker's id before, so from the first
+	// order on the worker refuses what arrives late.
+	fence modeler.FencingToken
 	// gone means that this generation has certainly ended.
 	gone bool
 	// clock is the latest known value of the worker's clock, received at clockAt.
@@ -123,9 +125,6 @@
 	// departureSentAt is when the worker was last listed as departed, if it is gone.
 	departureSentAt modeler.ClockReading
 	health
-	// unansweredStarts holds the times at which starts were found to have no
-	// answer. A new generation under the same id could still carry them out.
-	unansweredStarts map[attemptID]modeler.ClockReading
 	// openPermitRequests counts the open permit requests that name the worker.
 	openPermitRequests int
 	// speed is the worker's estimated speed.
@@ -171,11 +170,11 @@
 	h := d.hosts[id]
 	switch {
 	case h == nil:
-		d.addHost(now, m)
-		d.settings.Log("worker known", "worker", id, "generation", m.Generation, "service", m.Service)
+		fresh := d.addHost(now, m)
+		d.settings.Log("worker known", "worker", id, "generation", m.Generation, "service", m.Service, "fence", fresh.fence)
 	case h.worker.Generation != m.Generation:
-		d.settings.Log("worker restarted", "worker", id, "generation", m.Generation, "attempts", len(h.runs))
-		d.replaceHost(now, h, m)
+		fresh := d.replaceHost(now, h, m)
+		d.settings.Log("worker restarted", "worker", id, "generation", m.Generation, "fence", fresh.fence, "before", h.fence, "attempts", len(fresh.runs))
 	default:
 		leaves := m.Leaving && !h.worker.Leaving
 		d.setAddress(h, h.worker.Address, m.Address)
@@ -190,15 +189,18 @@
 }
 
 func (d *Dispatcher) addHost(now modeler.ClockReading, m modeler.WorkerAnnouncement) *host {
+	if !d.restoring {
+		d.registrations++
+	}
 	h := &host{
-		worker:           m,
-		runs:             make(map[modeler.FlowTask]*run),
-		unansweredStarts: make(map[attemptID]modeler.ClockReading),
-		slowSeenAt:       make(map[modeler.FlowTask]modeler.ClockReading),
-		slowedDown:       make(map[modeler.FlowTask]bool),
-		heardAt:          now,
-		announcedAt:      now,
-		renewAt:          now,
+		worker:      m,
+		fence:       modeler.NewFencingToken(d.term, d.registrations),
+		runs:        make(map[modeler.FlowTask]*run),
+		slowSeenAt:  make(map[modeler.FlowTask]modeler.ClockReading),
+		slowedDown:  make(map[modeler.FlowTask]bool),
+		heardAt:     now,
+		announcedAt: now,
+		renewAt:     now,
 	}
 	if m.Leaving {
 		h.leaveAt = now.Add(m.Remaining)
@@ -253,12 +255,12 @@
 	}
 }
 
-// replaceHost handles a new generation of a worker under the same id. The new
-// generation could still carry out an order that got no answer, so such an
-// attempt ends only once the new generation has answered a stop of it.
-func (d *Dispatcher) replaceHost(now modeler.ClockReading, old *host, m modeler.WorkerAnnouncement) {
+// replaceHost handles a new generation of a worker under the same id, and returns its
+// host. The new generation may have carried out an order that got no answer before the
+// first order with its own fencing token arrived there, so such an attempt ends only
+// once the new generation has answered a stop of it.
+func (d *Dispatcher) replaceHost(now modeler.ClockReading, old *host, m modeler.WorkerAnnouncement) *host {
 	fresh := d.addHost(now, m)
-	fresh.unansweredStarts = old.unansweredStarts
 	d.releaseHeldBack(old)
 	for _, r := range old.runs {
 		if r.phase == committing {
@@ -273,15 +275,7 @@
 		d.moveRun(r, fresh)
 		d.stopRun(now, r, "the worker has restarted")
 	}
-	// Attempts that were moved above are already being stopped, and stopOrphan
-	// skips them.
-	for x, at := range fresh.unansweredStarts {
-		if now.Sub(at) > lateStartPeriod {
-			delete(fresh.unansweredStarts, x)
-			continue
-		}
-		d.stopOrphan(now, fresh, x.task, x.attempt, "its start may come late")
-	}
+	return fresh
 }
 
 // handleDeparted removes a worker that has left permanently.
@@ -416,12 +410,7 @@
 	if h.gone || h.renewalPending || now < h.renewAt || h.pendingEnds > 0 {
 		return
 	}
-	o := modeler.Order{
-		Kind:       modeler.RenewOrder,
-		Worker:     h.worker.ID,
-		Generation: h.worker.Generation,
-		Address:    h.worker.Address,
-	}
+	o := modeler.Order{Kind: modeler.RenewOrder}
 	if !h.hasAnswered && h.unanswered == 0 {
 		if d.firstRenewals >= maxFirstRenewals*d.senders {
 			return
@@ -443,7 +432,7 @@
 		}
 	}
 	h.renewalPending = true
-	d.send(o)
+	d.send(h, o)
 }
 
 // renewalWait returns how long a worker may hold a renewal open until a task
@@ -599,10 +588,7 @@
 		return
 	}
 	if r.attempt != e.Attempt {
-		d.send(modeler.Order{
-			Kind: modeler.StopOrder, Worker: h.worker.ID, Generation: h.worker.Generation, Address: h.worker.Address,
-			Task: e.Task, Attempt: e.Attempt,
-		})
+		d.send(h, modeler.Order{Kind: modeler.StopOrder, Task: e.Task, Attempt: e.Attempt})
 		return
 	}
 	if r.phase == starting || r.phase == restored {
--- a/dispatcher/pace.go
+++ b/dispatcher/pace.go
@@ -73,8 +73,5 @@
 	r.throttlePending = true
 	r.shareAt = now
 	d.logTask("task throttled", r.task, r.attempt, r.host.worker.ID, "percent", share, "worst", worst)
-	d.send(modeler.Order{
-		Kind: modeler.ThrottleOrder, Worker: r.host.worker.ID, Generation: r.host.worker.Generation, Address: r.host.worker.Address,
-		Task: r.task, Attempt: r.attempt, Percent: share,
-	})
+	d.send(r.host, modeler.Order{Kind: modeler.ThrottleOrder, Task: r.task, Attempt: r.attempt, Percent: share})
 }
--- /dev/null
+++ b/dispatcher/return_test.go
@@ -0,0 +1,88 @@
+package dispatcher_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"goldcreststack.example/goldcreststack/modeler"
+)
+
+// departure is one way in which a generation of a worker ends.
+type departure string
+
+const (
+	planned      departure = "planned"
+	crashed      departure = "crashed"
+	crashedTwice departure = "crashed twice"
+)
+
+// endGeneration ends a generation of a worker and starts the next one under the same
+// id after away.
+func (r *rig) endGeneration(w *worker, how departure, away time.Duration) {
+	if how == planned {
+		w.announcement.Leaving, w.announcement.Remaining = true, time.Second
+		r.commitAnnouncement(w)
+		r.run(time.Second)
+		r.commit(func() { r.state.RecordDepartures(r.stamp(), []modeler.WorkerID{w.announcement.ID}) })
+	}
+	r.crash(w)
+	r.run(away)
+	r.returnWorker(w)
+	if how == crashedTwice {
+		r.run(300 * time.Millisecond)
+		r.crash(w)
+		r.run(away)
+		r.returnWorker(w)
+	}
+}
+
+// returnWorker starts the next generation of a worker, which announces itself at once.
+func (r *rig) returnWorker(w *worker) {
+	w.announcement.Leaving, w.announcement.Remaining = false, 0
+	r.beginGeneration(w)
+	r.commitAnnouncement(w)
+}
+
+// Guards against a start that arrives late at a later generation of its worker and runs
+// the task a second time. The leader had forgotten the start when the worker left, or
+// when it had been silent for 6 s.
+func TestLateStartAfterReturn(t *testing.T) {
+	for _, how := range []departure{planned, crashed, crashedTwice} {
+		for _, away := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 7500 * time.Millisecond} {
+			for _, late := range []time.Duration{4 * time.Second, 9 * time.Second, 12 * time.Second, 40 * time.Second} {
+				for _, newLeader := range []bool{false, true} {
+					t.Run(fmt.Sprintf("%s/%v/%v/%v", how, away, late, newLeader), func(t *testing.T) {
+						r := newRig(t, 1)
+						r.expectFaults, r.lateOrdersSurviveRestart, r.lateDelay = true, true, late
+						r.addWorkers(3, 8)
+						// The deadline of the late order is on the clock of a generation that has been up for longer.
+						r.run(time.Minute)
+						lasting := step(2, 1, 100*time.Millisecond)
+						lasting.LongRunning = true
+						r.faultRates.late = 1
+						r.submit(flow("f", lasting))
+						r.run(50 * time.Millisecond)
+						r.faultRates.late = 0
+						r.run(time.Second)
+						assert.Equal(t, len(r.starts), 2)
+						w := r.busiest()
+						r.endGeneration(w, how, away)
+						if newLeader {
+							r.run(time.Second)
+							r.electLeader()
+						}
+						r.run(late + lease)
+						running := 0
+						for _, other := range r.workers {
+							running += len(other.running)
+						}
+						assert.Equal(t, running, 2)
+					})
+				}
+			}
+		}
+	}
+}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -331,9 +331,8 @@
 		r.startedAt = now
 	}
 	r.startsSent++
-	d.send(modeler.Order{
-		Kind: modeler.StartOrder, Worker: h.worker.ID, Generation: h.worker.Generation, Address: h.worker.Address,
-		Task: r.task, Attempt: r.attempt, Deadline: d.leaseDeadline(now, h),
+	d.send(h, modeler.Order{
+		Kind: modeler.StartOrder, Task: r.task, Attempt: r.attempt, Deadline: d.leaseDeadline(now, h),
 		Spec: f.Spec.Spec, Saved: f.Task(r.task).Checkpoint, Permit: r.permit, Repeated: r.startsSent > 1,
 	})
 	// Renew soon, also if the worker was idle, to learn whether it runs the
@@ -366,11 +365,7 @@
 	repeated := r.stopping
 	r.stopping = true
 	r.stopSentAt = now
-	h := r.host
-	d.send(modeler.Order{
-		Kind: modeler.StopOrder, Worker: h.worker.ID, Generation: h.worker.Generation, Address: h.worker.Address,
-		Task: r.task, Attempt: r.attempt, Repeated: repeated,
-	})
+	d.send(r.host, modeler.Order{Kind: modeler.StopOrder, Task: r.task, Attempt: r.attempt, Repeated: repeated})
 }
 
 // HandleOrderAnswer handles the answer to a start, a stop or a throttle order.
@@ -383,9 +378,6 @@
 		d.updateClock(now, h, a)
 	}
 	r := h.runs[o.Task]
-	if o.Kind == modeler.StartOrder && (a.Outcome == modeler.OrderUnanswered || a.Outcome == modeler.OrderCarrierLost) {
-		h.unansweredStarts[attemptID{o.Task, o.Attempt}] = now
-	}
 	if a.Outcome != modeler.OrderAccepted && a.Outcome != modeler.OrderCarrierLost && (o.Kind == modeler.StartOrder || a.Outcome != modeler.OrderUnsent && a.Outcome != modeler.OrderUnanswered) {
 		d.logTask("order not accepted", o.Task, o.Attempt, o.Worker, "order", o.Kind.String(), "fate", a.Outcome.String())
 	}
--- a/modeler/id.go
+++ b/modeler/id.go
@@ -58,6 +58,25 @@
 // Term numbers the leadership terms of the replicated group.
 type Term uint64
 
+// FencingToken orders the orders that one worker gets: a worker does nothing for an
+// order with a lower token than it has seen.
+type FencingToken uint64
+
+// registrationBits is the size of the count of registrations in a FencingToken. It
+// leaves 32 bits for the term below 2^53, up to which JSON numbers are exact.
+const registrationBits = 21
+
+// NewFencingToken returns the token for orders to a worker which its leader of the term
+// has registered as number registration. Tokens of a later term are higher; beyond two
+// million registrations in one term they stay the same.
+func NewFencingToken(term Term, registration uint64) FencingToken {
+	return FencingToken(uint64(term)<<registrationBits | min(registration, 1<<registrationBits-1))
+}
+
+// Term returns the term of the leader that gave the token, or 0 if an earlier build gave
+// it, which used the term itself as the token.
+func (f FencingToken) Term() Term { return Term(f >> registrationBits) }
+
 // Incarnation identifies one start of an entry process.
 type Incarnation uint64
 
--- a/modeler/order.go
+++ b/modeler/order.go
@@ -30,7 +30,7 @@
 	Worker     WorkerID
 	Generation Generation
 	Address    string
-	Term       Term
+	Fence      FencingToken
 	Task       FlowTask
 	Attempt    Attempt
 	// Deadline is the end of the worker's lease, on the worker's clock.
@@ -67,8 +67,8 @@
 	// OrderUnanswered means that no answer came. The worker may still carry out
 	// the order.
 	OrderUnanswered
-	// OrderStale means that a newer leader has replaced the one that sent the
-	// order.
+	// OrderStale means that the worker has seen a higher fencing token: the order is
+	// of an earlier leader, or was sent to an earlier generation of the worker.
 	OrderStale
 	// OrderSuperseded means that the attempt to start is not higher than one that
 	// was stopped or has ended on the worker.
--- a/relayer/carry.go
+++ b/relayer/carry.go
@@ -45,8 +45,8 @@
 // waited here for its whole timeout, or if the leader that sent it has been
 // replaced.
 func (r *Relayer) carryOrder(ctx context.Context, received modeler.ClockReading, o *modeler.Order) modeler.OrderAnswer {
-	switch {
-	case uint64(o.Term) < r.term.Load():
+	switch term := uint64(o.Fence.Term()); {
+	case term != 0 && term < r.term.Load():
 		return modeler.OrderAnswer{Outcome: modeler.OrderStale}
 	case r.settings.Clock().Sub(received) > o.Timeout:
 		return modeler.OrderAnswer{Outcome: modeler.OrderUnsent}
