Attempts are not given up before their returned worker has answered

Its worker had come back, an order to the earlier generation was carried out by the new one before that was announced, and the leader moved the attempt and sent a stop. At the next tick, before the answer, it gave the attempt up: "worker leases expired" with attempts 1 and heard 0s.

Cause: for a worker that has not answered, leasesExpireAt counted from the beginning of the term, which is right for workers taken over from an earlier leader only. For one that is added later that time is long past.

Change: it counts from when this leader added the worker.

--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -75,7 +75,8 @@
 	// fence is the fencing token of the orders to this generation. It is higher than
 	// those of all orders that were sent to the worker's id before, so from the first
 	// order on the worker refuses what arrives late.
-	fence modeler.FencingToken
+	fence   modeler.FencingToken
+	addedAt modeler.ClockReading
 	// gone means that this generation has certainly ended.
 	gone bool
 	// clock is the latest known value of the worker's clock, received at clockAt.
@@ -150,9 +151,9 @@
 // valid.
 func (d *Dispatcher) leasesExpireAt(h *host) modeler.ClockReading {
 	if !h.hasAnswered {
-		// An earlier leader could grant leases up to the end of its own leadership,
-		// which was before this term began.
-		return d.termBegan.Add(maxElapsed(d.settings.MaxLease) + leaseMargin)
+		// An earlier leader, or an order to an earlier generation, could grant leases
+		// until this leader added the worker.
+		return h.addedAt.Add(maxElapsed(d.settings.MaxLease) + leaseMargin)
 	}
 	if h.leaseLimit <= h.clock {
 		return h.clockAt.Add(leaseMargin)
@@ -194,6 +195,7 @@
 	}
 	h := &host{
 		worker:      m,
+		addedAt:     now,
 		fence:       modeler.NewFencingToken(d.term, d.registrations),
 		runs:        make(map[modeler.FlowTask]*run),
 		slowSeenAt:  make(map[modeler.FlowTask]modeler.ClockReading),
--- a/dispatcher/return_test.go
+++ b/dispatcher/return_test.go
@@ -75,14 +75,43 @@
 							r.electLeader()
 						}
 						r.run(late + lease)
-						running := 0
-						for _, other := range r.workers {
-							running += len(other.running)
-						}
-						assert.Equal(t, running, 2)
+						assert.Equal(t, r.countRunning(), 2)
 					})
 				}
 			}
 		}
 	}
 }
+
+// Guards against attempts that are given up as soon as their worker comes back, before it
+// has answered: the new generation may have carried out their starts, and holds a lease.
+// The leases that the leader assumed there were those of the time of its election.
+func TestAttemptsWaitForAnswerOfReturnedWorker(t *testing.T) {
+	for _, silence := range []time.Duration{time.Second, 4 * time.Second} {
+		r := newRig(t, 1)
+		r.addWorkers(2, 8)
+		r.run(time.Minute)
+		w := r.workers["w00"]
+		r.beginGeneration(w)
+		lasting := step(4, 1, 100*time.Millisecond)
+		lasting.LongRunning = true
+		r.submit(flow("f", lasting))
+		r.run(60 * time.Millisecond)
+		assert.Equal(t, len(w.running), 4)
+		w.unreachable = true
+		r.commitAnnouncement(w)
+		r.run(silence)
+		w.unreachable = false
+		r.run(lease)
+		assert.Equal(t, r.countRunning(), 4)
+	}
+}
+
+// countRunning returns the number of running tasks on all workers.
+func (r *rig) countRunning() int {
+	running := 0
+	for _, w := range r.workers {
+		running += len(w.running)
+	}
+	return running
+}
