An attempt that moves to a new generation starts from a fresh state there

Cause: moveRun kept stopAckClock, a reading of the former generation's clock, and the maximum with the new answer kept it for good, so lists of the new generation counted as older than the answer to the stop. Evidence: in the log of the old code no stop follows "worker restarted" (stopAckClock set, so it is not repeated) and both attempts end as "unstarted" 39.6 s later by themselves, while the worker's record shows the stops answered at once. Ruled out: lost answers, partial lists, room (16 idle workers).

Change: the fields of a run that belong to one generation are a struct, generationState, replaced as a whole by moveRun, so a reading can't be carried over. "task stop is overdue" and two counts in the state dump tell such a wait from an unanswered stop.

--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -274,7 +274,7 @@
 			d.endRun(r, modeler.EndLost, "")
 			continue
 		}
-		d.moveRun(r, fresh)
+		d.moveRun(now, r, fresh)
 		d.stopRun(now, r, "the worker has restarted")
 	}
 	return fresh
--- a/dispatcher/return_test.go
+++ b/dispatcher/return_test.go
@@ -115,3 +115,44 @@
 	}
 	return running
 }
+
+// Guards against tasks without a run after their worker has crashed during a stop and
+// come back. The leader compared the clock of the new generation with the reading at
+// which the earlier one had answered the stop, and waited for as long as that one had
+// been up.
+func TestWorkerReturnsDuringStop(t *testing.T) {
+	for _, upFor := range []time.Duration{5 * time.Second, 40 * time.Second, 30 * time.Minute} {
+		for _, down := range []time.Duration{10 * time.Millisecond, time.Second, 4 * time.Second} {
+			for _, crashes := range []int{1, 2, 3} {
+				for _, newLeader := range []bool{false, true} {
+					t.Run(fmt.Sprintf("%v/%v/%d/%v", upFor, down, crashes, newLeader), func(t *testing.T) {
+						r := newRig(t, 1)
+						r.addWorkers(3, 8)
+						for _, w := range r.workers {
+							w.startedAt = w.startedAt.Add(-upFor)
+						}
+						lasting := step(2, 1, 100*time.Millisecond)
+						lasting.LongRunning = true
+						r.submit(flow("f", lasting))
+						r.run(time.Second)
+						if newLeader {
+							r.electLeader()
+							r.run(time.Second)
+						}
+						w := r.busiest()
+						w.announcement.Leaving, w.announcement.Remaining = true, 2*time.Second
+						r.commitAnnouncement(w)
+						for range crashes {
+							r.run(100 * time.Millisecond)
+							r.crash(w)
+							r.run(down)
+							r.returnWorker(w)
+						}
+						r.run(2 * time.Second)
+						assert.Equal(t, r.countRunning(), 2)
+					})
+				}
+			}
+		}
+	}
+}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -45,11 +45,38 @@
 	// sentAt is when the start was last sent, and startsSent how often.
 	sentAt     modeler.ClockReading
 	startsSent int
+	generationState
+	checkpoint modeler.Checkpoint
+	// checkpointAt is when the worker first listed the newest checkpoint.
+	checkpointAt modeler.ClockReading
+	// orphaned attempts have ended according to the replicated state, but may run
+	// because their start was delivered late. They occupy resources and block the
+	// next attempt of their task until a stop of them is confirmed.
+	orphaned bool
+	// abandoned attempts may still run while their task may start elsewhere. They
+	// occupy resources until their end is known. The first attempt that is done
+	// completes the task.
+	abandoned bool
+	// supersededBy is the worker that has listed an earlier attempt as done while
+	// this one was being committed; this one is then not sent.
+	supersededBy *host
+	// countedIn is the reservationPass in which the attempt was last counted.
+	countedIn uint64
+}
+
+// generationState holds what concerns an attempt on one generation of its worker. Clock
+// readings, reports and orders of one generation mean nothing on another, so an attempt
+// that moves to a newer one begins with a fresh state.
+type generationState struct {
 	// stopping means that a stop was sent. stopAckClock is the worker's clock in
 	// its answer to the stop, or 0.
 	stopping     bool
 	stopAckClock modeler.WorkerClock
-	stopSentAt   modeler.ClockReading
+	// stopSentAt is when the stop was last sent, and stopBegan when it was first sent.
+	// stopOverdue means that it was logged that the attempt has not ended since.
+	stopSentAt  modeler.ClockReading
+	stopBegan   modeler.ClockReading
+	stopOverdue bool
 	// percent is the reported progress, which last changed at progressAt.
 	percent    int
 	progressAt modeler.ClockReading
@@ -64,10 +91,7 @@
 	// the attempt, it is when that was first known.
 	startedAt modeler.ClockReading
 	// load is the tail latency in milliseconds that a serving task last reported.
-	load       int
-	checkpoint modeler.Checkpoint
-	// checkpointAt is when the worker first listed the newest checkpoint.
-	checkpointAt modeler.ClockReading
+	load int
 	// share is the percentage of its processors that a backfill task may use, last
 	// changed at shareAt.
 	share   int
@@ -80,28 +104,19 @@
 	seenRunning bool
 	// endListed means that the worker has listed the end of the attempt.
 	endListed bool
-	// orphaned attempts have ended according to the replicated state, but may run
-	// because their start was delivered late. They occupy resources and block the
-	// next attempt of their task until a stop of them is confirmed.
-	orphaned bool
-	// abandoned attempts may still run while their task may start elsewhere. They
-	// occupy resources until their end is known. The first attempt that is done
-	// completes the task.
-	abandoned bool
 	// predatesLeader means that the attempt was started by an earlier leader, so
 	// its run time is unknown.
 	predatesLeader bool
-	// supersededBy is the worker that has listed an earlier attempt as done while
-	// this one was being committed; this one is then not sent.
-	supersededBy *host
-	// countedIn is the reservationPass in which the attempt was last counted.
-	countedIn uint64
 	// isProbe means that the attempt shows whether its worker is sound again.
 	isProbe bool
 	// throttlePending means that an order to change the share has no answer yet.
 	throttlePending bool
 }
 
+func newGenerationState(now modeler.ClockReading) generationState {
+	return generationState{progressAt: now, share: 100}
+}
+
 // step returns the step of a task, or nil if its flow is not held any more.
 func (d *Dispatcher) step(task modeler.FlowTask) *modeler.Step {
 	f, found := d.state.Flow(task.Flow)
@@ -124,13 +139,12 @@
 // addRun adds an attempt to its worker and reserves its resources there.
 func (d *Dispatcher) addRun(now modeler.ClockReading, start modeler.FlowStart, h *host, p phase) *run {
 	r := &run{
-		task:       start.Task,
-		attempt:    start.Attempt,
-		host:       h,
-		unit:       d.units[start.Task.StepKey()],
-		phase:      p,
-		progressAt: now,
-		share:      100,
+		task:            start.Task,
+		attempt:         start.Attempt,
+		host:            h,
+		unit:            d.units[start.Task.StepKey()],
+		phase:           p,
+		generationState: newGenerationState(now),
 	}
 	if step := d.step(start.Task); step != nil {
 		r.need = neededBy(step)
@@ -197,13 +211,12 @@
 }
 
 // moveRun moves an attempt to a newer generation of its worker.
-func (d *Dispatcher) moveRun(r *run, h *host) {
+func (d *Dispatcher) moveRun(now modeler.ClockReading, r *run, h *host) {
 	delete(r.host.runs, r.task)
 	r.host.used = r.host.used.Sub(r.need)
-	r.isProbe = false
 	// The worker id stays the same, so unit.runsOn needs no update.
 	r.host = h
-	r.seenRunning = false
+	r.generationState = newGenerationState(now)
 	h.runs[r.task] = r
 	h.used = h.used.Add(r.need)
 }
@@ -363,6 +376,9 @@
 		d.logTask("task stop", r.task, r.attempt, r.host.worker.ID, "reason", why, "percent", r.percent, "heard", now.Sub(r.host.heardAt).String())
 	}
 	repeated := r.stopping
+	if !repeated {
+		r.stopBegan = now
+	}
 	r.stopping = true
 	r.stopSentAt = now
 	d.send(r.host, modeler.Order{Kind: modeler.StopOrder, Task: r.task, Attempt: r.attempt, Repeated: repeated})
@@ -457,6 +473,7 @@
 	switch {
 	case h.gone || r.phase == committing || r.phase == ending:
 	case r.stopping:
+		d.logOverdueStop(now, h, r)
 		if r.stopAckClock == 0 && d.heardBy(now).Sub(r.stopSentAt) >= resendAfter {
 			d.stopRun(now, r, "")
 		}
@@ -478,6 +495,21 @@
 	}
 }
 
+// stopOverdueAfter is how long after a stop was first sent it is logged that the attempt
+// has not ended: several times what workers may take to stop a task.
+const stopOverdueAfter = 3 * time.Second
+
+// logOverdueStop writes one log line about a stop whose attempt has not ended in time:
+// whether the stop was answered, and what the worker has listed since.
+func (d *Dispatcher) logOverdueStop(now modeler.ClockReading, h *host, r *run) {
+	if r.stopOverdue || d.heardBy(now).Sub(r.stopBegan) < stopOverdueAfter {
+		return
+	}
+	r.stopOverdue = true
+	d.logTask("task stop is overdue", r.task, r.attempt, h.worker.ID, "generation", h.worker.Generation, "answered", r.stopAckClock, "clock", h.clock,
+		"listed", r.seenRunning, "complete", h.hasListedAll && !h.endsRemain, "heard", now.Sub(h.heardAt).String())
+}
+
 // shouldGiveUpStart reports whether an unanswered start is not repeated: the
 // worker is leaving, maxStarts is reached, or the flow is over.
 func (d *Dispatcher) shouldGiveUpStart(now modeler.ClockReading, h *host, r *run) bool {
--- a/dispatcher/stats.go
+++ b/dispatcher/stats.go
@@ -20,6 +20,10 @@
 	Units       int `json:"units"`
 	Runs        int `json:"runs"`
 	Waiting     int `json:"waiting"`
+	// Stopping counts the attempts that are being stopped, and OverdueStops those that
+	// have not ended for 3 s.
+	Stopping     int `json:"stopping"`
+	OverdueStops int `json:"overdue_stops"`
 	// Steps lists the first waiting steps in scheduling order, and Idle the workers
 	// that get no tasks.
 	Steps []WaitingStep `json:"steps,omitempty"`
@@ -62,6 +66,14 @@
 		if h.hasAnswered {
 			s.Answered++
 		}
+		for _, r := range h.runs {
+			if r.stopping {
+				s.Stopping++
+			}
+			if r.stopOverdue {
+				s.OverdueStops++
+			}
+		}
 		if h.isQuarantined(now) {
 			s.Quarantined++
 		}
