A generation that answers before it is announced gets a higher token

The new generation had answered a renewal and was not announced yet, so the leader went on with the token of the earlier generation although the answer named the new one.

Change: an answer of a newer generation raises the worker's token at once and sends the next renewal; the line "worker answers as a newer generation" tells it. The window shrinks from the next announcement (up to 1.5 s, or longer if it is lost) to a round trip.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -50,8 +50,8 @@
 	// restoring is set while a new leader takes the replicated state over.
 	restoring bool
 	hosts     map[modeler.WorkerID]*host
-	// registrations counts the hosts that were added since the term began, without those
-	// that were taken over.
+	// registrations counts the fencing tokens that were given since the term began: one
+	// for each added host, and for each generation that answered before it was announced.
 	registrations uint64
 	// hostList holds the values of hosts in the order in which they were added;
 	// hostsAt groups them by network address.
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -77,6 +77,9 @@
 	// order on the worker refuses what arrives late.
 	fence   modeler.FencingToken
 	addedAt modeler.ClockReading
+	// newerGeneration is the newest generation of the worker that has answered without
+	// being announced, or 0.
+	newerGeneration modeler.Generation
 	// gone means that this generation has certainly ended.
 	gone bool
 	// clock is the latest known value of the worker's clock, received at clockAt.
@@ -190,13 +193,10 @@
 }
 
 func (d *Dispatcher) addHost(now modeler.ClockReading, m modeler.WorkerAnnouncement) *host {
-	if !d.restoring {
-		d.registrations++
-	}
 	h := &host{
 		worker:      m,
 		addedAt:     now,
-		fence:       modeler.NewFencingToken(d.term, d.registrations),
+		fence:       d.nextFence(),
 		runs:        make(map[modeler.FlowTask]*run),
 		slowSeenAt:  make(map[modeler.FlowTask]modeler.ClockReading),
 		slowedDown:  make(map[modeler.FlowTask]bool),
@@ -215,6 +215,15 @@
 	return h
 }
 
+// nextFence returns a fencing token that is higher than those of all orders sent before.
+// No order was sent in this term while the state is taken over.
+func (d *Dispatcher) nextFence() modeler.FencingToken {
+	if !d.restoring {
+		d.registrations++
+	}
+	return modeler.NewFencingToken(d.term, d.registrations)
+}
+
 func (d *Dispatcher) removeHost(id modeler.WorkerID) {
 	h := d.hosts[id]
 	if h == nil {
@@ -478,6 +487,13 @@
 			h.unanswered++
 			h.renewAt = now.Add(renewRetryInterval)
 		}
+		if a.Generation > max(h.newerGeneration, o.Generation) {
+			// Until then the new generation could carry out late orders to this one.
+			h.newerGeneration = a.Generation
+			h.fence = d.nextFence()
+			h.renewAt = now
+			d.settings.Log("worker answers as a newer generation", "worker", o.Worker, "generation", a.Generation, "known", o.Generation, "fence", h.fence)
+		}
 		if a.Outcome == modeler.OrderWrongWorker {
 			d.endWorker(now, h, "another worker answers at its address")
 		}
--- a/dispatcher/return_test.go
+++ b/dispatcher/return_test.go
@@ -156,3 +156,31 @@
 		}
 	}
 }
+
+// Guards against a start that arrives late at a new generation of its worker while the
+// leader takes that for the earlier one. The announcement of the new generation may come
+// seconds after its first answer, which names it.
+func TestLateStartBeforeReturnIsAnnounced(t *testing.T) {
+	for _, late := range []time.Duration{4 * time.Second, 5 * time.Second, 9 * time.Second} {
+		r := newRig(t, 1)
+		r.lateOrdersSurviveRestart, r.lateOrdersArriveFirst, r.lateDelay = true, true, late
+		w := r.addWorker("w00", 8, "r0")
+		r.run(time.Minute)
+		second := step(1, 1, time.Minute)
+		second.After = []modeler.StepIndex{0}
+		r.faultRates.late = 1
+		r.submit(flow("f", step(1, 1, 300*time.Millisecond), second))
+		r.run(50 * time.Millisecond)
+		r.faultRates.late = 0
+		r.run(time.Second)
+		f, _ := r.state.Flow("f")
+		assert.Equal(t, f.OpenTasks, 1)
+		r.crash(w)
+		r.beginGeneration(w)
+		r.run(late + time.Second)
+		assert.Equal(t, r.starts[modeler.FlowTask{Flow: "f"}], 1, "late by %v", late)
+		r.commitAnnouncement(w)
+		r.run(time.Second)
+		assert.Equal(t, r.countRunning(), 1)
+	}
+}
