A task is not held back for a generation of a worker that has ended

Callers would see a job that never goes on. If the worker crashed and came back before the commit, the task was held back for a host that was gone, and nothing released it.

Change: supersededBy counts only if that host is current. The end as done is lost with its generation, so the attempt is sent.

--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -234,6 +234,10 @@
 	d.setAddress(h, h.worker.Address, "")
 }
 
+// isCurrent reports whether the host is the newest known generation of its worker and has
+// not certainly ended.
+func (d *Dispatcher) isCurrent(h *host) bool { return !h.gone && d.hosts[h.worker.ID] == h }
+
 // setAddress updates hostsAt when a host's address changes; an empty address
 // means none.
 func (d *Dispatcher) setAddress(h *host, from, to string) {
@@ -406,7 +410,7 @@
 	rest := d.renewQueue[:0]
 	for _, h := range d.renewQueue {
 		d.sendRenewal(now, h)
-		h.inRenewQueue = !h.renewalPending && !h.gone && d.hosts[h.worker.ID] == h
+		h.inRenewQueue = !h.renewalPending && d.isCurrent(h)
 		if h.inRenewQueue {
 			rest = append(rest, h)
 		}
--- a/dispatcher/return_test.go
+++ b/dispatcher/return_test.go
@@ -184,3 +184,33 @@
 		assert.Equal(t, r.countRunning(), 1)
 	}
 }
+
+// Guards against a task that never starts again because an attempt of it was held back
+// for a generation of a worker that ended meanwhile. The worker had listed an earlier
+// attempt as done while the next one was being committed, and then crashed.
+func TestHeldBackTaskOutlivesItsLister(t *testing.T) {
+	seen := false
+	for outage := 18 * time.Second; outage < 28*time.Second; outage += 250 * time.Millisecond {
+		for _, crashAfter := range []time.Duration{20 * time.Millisecond, 300 * time.Millisecond, time.Second} {
+			r := newRig(t, 1)
+			r.addWorkers(3, 8)
+			r.submit(flow("f", step(1, 2, 3*time.Second)))
+			r.run(time.Second)
+			r.commitTime = 2 * time.Second
+			w := r.busiest()
+			w.unreachable = true
+			r.run(outage)
+			w.unreachable = false
+			r.run(crashAfter)
+			before := r.starts[modeler.FlowTask{Flow: "f"}]
+			r.crash(w)
+			r.run(100 * time.Millisecond)
+			r.returnWorker(w)
+			r.commitTime = 10 * time.Millisecond
+			r.run(30 * time.Second)
+			assert.Equal(t, r.flowState("f"), modeler.FlowCompleted, "outage of %v, crash after %v", outage, crashAfter)
+			seen = seen || before > 1
+		}
+	}
+	assert.Assert(t, seen, "no attempt was given up: the worker was reachable again too early")
+}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -321,10 +321,10 @@
 	d.committing--
 	r.phase = starting
 	switch h := r.host; {
-	case r.supersededBy != nil:
+	case r.supersededBy != nil && d.isCurrent(r.supersededBy):
 		d.heldBack[r.task] = r.supersededBy
 		d.endRun(r, modeler.EndUnstarted, "")
-	case h.gone || d.hosts[h.worker.ID] != h || h.worker.Leaving:
+	case !d.isCurrent(h) || h.worker.Leaving:
 		d.endRun(r, modeler.EndUnstarted, "")
 	case r.unit == nil || !r.unit.flow.IsPlaced(r.task) || r.unit.step.Gang && r.attempt <= r.unit.brokenAttempt:
 		d.endRun(r, modeler.EndUnstarted, "")
