A denial of the outside policy ends with the generation it was for

Callers would see a job that never starts. A worker that the policy has denied a step may come back under its id as another kind (PROTOCOL.md: "A new incarnation may be of a different kind, even at the same address"), and the step never asked about it again.

Change: a denial names its generation, and an answer of the policy counts only for the generation that was asked about, as permits already did in part.

Measured: TestDenialEndsWithItsGeneration fails before (pending for good) and passes after; the tests of dispatcher pass.

--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -66,9 +66,11 @@
 // markAsked records that a permit request with the given workers is open.
 func (d *Dispatcher) markAsked(u *unit, names []modeler.WorkerID) {
 	u.isAsking = true
-	u.askedWorkers = names
+	u.askedWorkers = u.askedWorkers[:0]
 	for _, id := range names {
-		d.hosts[id].openPermitRequests++
+		h := d.hosts[id]
+		h.openPermitRequests++
+		u.askedWorkers = append(u.askedWorkers, h)
 	}
 }
 
@@ -78,11 +80,8 @@
 		return
 	}
 	u.isAsking = false
-	for _, id := range u.askedWorkers {
-		// A worker that was replaced or removed meanwhile starts with a count of 0.
-		if h := d.hosts[id]; h != nil && h.openPermitRequests > 0 {
-			h.openPermitRequests--
-		}
+	for _, h := range u.askedWorkers {
+		h.openPermitRequests--
 	}
 }
 
@@ -169,7 +168,7 @@
 // canAsk reports whether a permit request for the step may name the worker.
 func (d *Dispatcher) canAsk(now modeler.ClockReading, u *unit, h *host) bool {
 	id := h.worker.ID
-	if u.denied[id] || !u.suits(h) || !d.usableBy(now, u, h) {
+	if u.denies(h) || !u.suits(h) || !d.usableBy(now, u, h) {
 		return false
 	}
 	lead := time.Duration(0)
@@ -180,6 +179,13 @@
 	return !known || p.expiresAt <= now.Add(lead) || p.generation != h.worker.Generation
 }
 
+// denies reports whether the outside policy has denied this generation of the worker. The
+// next one may be of another kind.
+func (u *unit) denies(h *host) bool {
+	generation, denied := u.denied[h.worker.ID]
+	return denied && generation == h.worker.Generation
+}
+
 // renewalLead returns how long before its expiry a permit is renewed: the longest
 // time of a request, so that a waiting step holds valid permits all the time.
 func renewalLead(p *modeler.PermitPolicy) time.Duration {
@@ -234,23 +240,24 @@
 		validity = u.policy.Permits.Validity
 	}
 	newAnswers, allowed := 0, 0
-	for _, id := range u.askedWorkers {
+	for _, h := range u.askedWorkers {
+		id := h.worker.ID
 		if _, known := u.permits[id]; !known {
 			newAnswers++
 		}
 		at := slices.IndexFunc(a.Allowed, func(g modeler.PermitGrant) bool { return g.Worker == id })
-		h := d.hosts[id]
-		if h == nil {
-			// The worker has departed. If it comes back, the policy is asked again.
+		if !d.isCurrent(h) {
+			// The answer is for a generation that has ended. If the worker comes back,
+			// the policy is asked again.
 			delete(u.permits, id)
 			continue
 		}
 		if at < 0 {
 			delete(u.permits, id)
 			if u.denied == nil {
-				u.denied = make(map[modeler.WorkerID]bool)
+				u.denied = make(map[modeler.WorkerID]modeler.Generation)
 			}
-			u.denied[id] = true
+			u.denied[id] = h.worker.Generation
 			continue
 		}
 		if _, known := u.permits[id]; !known {
--- a/dispatcher/quarantine.go
+++ b/dispatcher/quarantine.go
@@ -117,7 +117,7 @@
 func (d *Dispatcher) hasOtherWorker(now modeler.ClockReading, u *unit) bool {
 	for _, h := range d.hostList {
 		d.examined++
-		if u.suits(h) && !u.denied[h.worker.ID] && !h.isQuarantined(now) && d.outOfService(now, h) == "" {
+		if u.suits(h) && !u.denies(h) && !h.isQuarantined(now) && d.outOfService(now, h) == "" {
 			return true
 		}
 	}
--- a/dispatcher/return_test.go
+++ b/dispatcher/return_test.go
@@ -214,3 +214,35 @@
 	}
 	assert.Assert(t, seen, "no attempt was given up: the worker was reachable again too early")
 }
+
+// Guards against a step that never gets a worker because the outside policy denied an
+// earlier generation of it. A worker may come back as another kind, which is allowed.
+func TestDenialEndsWithItsGeneration(t *testing.T) {
+	r := newRig(t, 1)
+	r.permits = true
+	denied := true
+	r.allowed = func(modeler.StepKey, modeler.WorkerID) bool { return !denied }
+	w := r.addWorker("w00", 8, "r0")
+	r.run(time.Second)
+	r.submit(flow("f", step(1, 1, 100*time.Millisecond)))
+	r.run(time.Second)
+	assert.Equal(t, r.permitRequests, 1)
+	denied = false
+	r.run(time.Second)
+	assert.Equal(t, r.permitRequests, 1, "a denial of the same generation was asked again")
+	denied = true
+	r.crash(w)
+	r.returnWorker(w)
+	for range 100 {
+		if r.permitRequests == 1 {
+			r.step()
+		}
+	}
+	assert.Equal(t, r.permitRequests, 2)
+	denied = false
+	// This generation ends before the policy has answered the question about it.
+	r.crash(w)
+	r.returnWorker(w)
+	r.run(time.Second)
+	assert.Equal(t, r.flowState("f"), modeler.FlowCompleted)
+}
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -53,10 +53,10 @@
 	// runsOn counts the step's attempts on each worker.
 	runsOn  map[modeler.WorkerID]int
 	permits map[modeler.WorkerID]permit
-	// denied holds the workers that the outside policy has denied.
-	denied map[modeler.WorkerID]bool
+	// denied holds the generation of each worker that the outside policy has denied.
+	denied map[modeler.WorkerID]modeler.Generation
 	// isAsking means that a permit request for askedWorkers is open.
-	askedWorkers []modeler.WorkerID
+	askedWorkers []*host
 	isAsking     bool
 	nextAskAt    modeler.ClockReading
 	readyAt      modeler.ClockReading
