--- a/dispatcher/rig_test.go
+++ b/dispatcher/rig_test.go
@@ -494,7 +494,7 @@
 			switch e.Kind {
 			case modeler.EndDone:
 				r.checkNotRepeated(w, e.Task, e.Attempt)
-				if r.done[e.Task] == 0 {
+				if r.done[e.Task] == 0 && !r.hasLapsedSince(w, e.Task, e.Attempt) {
 					r.done[e.Task] = r.now
 				}
 			case modeler.EndFailed:
@@ -625,13 +625,24 @@
 	if r.allowsCopies[task] {
 		return
 	}
-	done := r.doneAt[modeler.FlowStart{Task: task, Attempt: attempt, Worker: w.announcement.ID, Generation: w.announcement.Generation}]
-	if at := r.lastStart[task]; at > done && w.leaseExpiredAt < done {
+	done := r.doneOn(w, task, attempt)
+	if at := r.lastStart[task]; at > done && !r.hasLapsedSince(w, task, attempt) {
 		r.t.Errorf("%v: attempt %d of task %v ended as done at %v, it was started again at %v, and that end is acknowledged",
 			time.Duration(r.now), attempt, task, time.Duration(done), time.Duration(at))
 	}
 }
 
+// doneOn returns when an attempt ended as done on the worker.
+func (r *rig) doneOn(w *worker, task modeler.FlowTask, attempt modeler.Attempt) modeler.ClockReading {
+	return r.doneAt[modeler.FlowStart{Task: task, Attempt: attempt, Worker: w.announcement.ID, Generation: w.announcement.Generation}]
+}
+
+// hasLapsedSince reports whether the worker's lease has expired since the attempt ended
+// as done there. The platform's rules don't count the acknowledgement of such an end.
+func (r *rig) hasLapsedSince(w *worker, task modeler.FlowTask, attempt modeler.Attempt) bool {
+	return w.leaseExpiredAt >= r.doneOn(w, task, attempt)
+}
+
 func (r *rig) endTask(w *worker, task modeler.FlowTask, kind modeler.EndKind) {
 	j := w.running[task]
 	delete(w.running, task)
