Soak: workers come back under their id, orders arrive late in a later life

The stand-in workers dropped late orders when they crashed, and never left as planned. A late order to an earlier generation counts once the leader has sent one that can only be for this generation; nothing could stop it before.

--- a/soaker/mass.go
+++ b/soaker/mass.go
@@ -40,7 +40,7 @@
 
 // kindOf returns the kind of a worker.
 func (w *world) kindOf(n int) string {
-	if w.settings.Mass && n < specialWorkers {
+	if (w.settings.Mass || w.settings.Return) && n < specialWorkers {
 		return "b"
 	}
 	return "a"
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -27,6 +27,7 @@
 	replace     = flag.Bool("replace", true, "replace control hosts, with random seeds and with -seed")
 	overlap     = flag.Bool("overlap", true, "with -replace, add partitions, disks lost during replacements and signals in series")
 	mass        = flag.Bool("mass", false, "with -seed and -seeds, add wide jobs and kinds of workers that all fail")
+	returns     = flag.Bool("return", false, "with -seed and -seeds, let workers come back under their id and orders arrive late there")
 	concurrency = flag.Int("concurrency", 8, "number of soaks to run side by side")
 )
 
@@ -82,6 +83,10 @@
 // keptMass are seeds with wide jobs and kinds of workers that all fail.
 var keptMass = []uint64{1, 2, 3}
 
+// keptReturns are seeds with workers that come back under their id and orders that arrive
+// late there.
+var keptReturns = []uint64{1, 2, 3}
+
 // longLength is the time for faults of longReplacements.
 const longLength = 20 * time.Second
 
@@ -115,6 +120,7 @@
 const (
 	plain extent = iota
 	massive
+	returning
 	replacing
 	overlapping
 )
@@ -124,6 +130,8 @@
 	switch {
 	case *mass:
 		return massive
+	case *returns && !*replace:
+		return returning
 	case !*replace:
 		return plain
 	case !*overlap:
@@ -164,6 +172,7 @@
 		Seed: s, Length: length, Binary: k.binary, Folder: testFolder(t),
 		Control: k.control, Entries: *entries, Workers: *workers,
 		Replace: faults >= replacing, Overlap: faults >= overlapping, Mass: faults == massive || *mass,
+		Return: faults == returning || *returns,
 	})
 	assert.NilError(t, err)
 	t.Logf("seed %d: %d jobs, %d starts, %d faults", s, report.Jobs, report.Starts, len(report.Faults))
@@ -212,6 +221,12 @@
 	newSoak(t).run(t, massive, *length, keptMass...)
 }
 
+// Guards against tasks that run twice, or not at all, after their worker has left or
+// crashed and has come back under its id.
+func TestSoakReturns(t *testing.T) {
+	newSoak(t).run(t, returning, *length, keptReturns...)
+}
+
 // Guards against commits that learners count for: seven hosts that tolerate one loss
 // have five voters.
 func TestSoakLearners(t *testing.T) {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -35,11 +35,16 @@
 	Overlap bool
 	// Mass adds wide jobs, tasks that last, and workers of a kind that all fail.
 	Mass bool
+	// Return lets workers leave, crash and come back under their id, while orders are on
+	// their way that arrive late at a later generation, and adds tasks that last.
+	Return bool
 }
 
 const (
 	// settleTime is the time after the last fault within which all jobs must end.
 	settleTime = 25 * time.Second
+	// returnSeries is the number of workers that leave and come back at the same time.
+	returnSeries = 2
 	// startupTime is the time before the first fault, in which the group elects
 	// its first leader.
 	startupTime = 3 * time.Second
@@ -142,13 +147,23 @@
 	}
 	w.sleep(startupTime)
 	var lasting []string
-	if settings.Mass {
+	if settings.Mass || settings.Return {
 		random := rand.New(rand.NewPCG(settings.Seed, 3))
 		lasting = w.startLasting(random)
-		callers.Go(func() { w.runMass(running, random) })
+		if settings.Mass {
+			callers.Go(func() { w.runMass(running, random) })
+		}
 	}
 	w.bootstrap.Store(false)
+	var returns sync.WaitGroup
+	if settings.Return {
+		for i := range returnSeries {
+			random := rand.New(rand.NewPCG(settings.Seed, uint64(4+i)))
+			returns.Go(func() { w.returnWorkers(settings.Length, random) })
+		}
+	}
 	w.injectAllFaults(settings.Length)
+	returns.Wait()
 	recovered := w.awaitRecovery()
 	end()
 	callers.Wait()
--- a/soaker/worker.go
+++ b/soaker/worker.go
@@ -30,6 +30,8 @@
 	// out late and gets no answer.
 	minLateDelay = 2 * time.Second
 	maxLateDelay = 6 * time.Second
+	// maxLateInReturns replaces maxLateDelay where workers come back under their id.
+	maxLateInReturns = 12 * time.Second
 	// maxListedEnds is the most ends that a worker lists in one answer.
 	maxListedEnds = 500
 )
@@ -46,6 +48,8 @@
 	startedAt time.Time
 	clockRate float64
 	fence     uint64
+	// earlierFence is the highest fencing token that an earlier generation has seen.
+	earlierFence uint64
 	// leaseEnd is in milliseconds of the worker's clock.
 	leaseEnd int64
 	// number is that of the newest task end since the worker started.
@@ -55,8 +59,14 @@
 	ended          []taskEnd
 	highestAttempt map[string]int
 	// wake is closed and replaced when a task ends.
-	wake           chan struct{}
-	isDown         bool
+	wake   chan struct{}
+	isDown bool
+	// leaveAt is when the worker will leave, if it drains.
+	leaveAt time.Time
+	// drainingSince is when a control process acknowledged that the worker drains.
+	drainingSince time.Time
+	// announceNow wakes the heartbeats.
+	announceNow    chan struct{}
 	crashes        int
 	sequence       int
 	controlAddress string
@@ -91,8 +101,11 @@
 }
 
 func newWorker(w *world, id, kind, address string) (*worker, error) {
-	s := &worker{world: w, id: id, kind: kind, address: address, clockRate: 1 - 0.02*w.random.Float64()}
+	s := &worker{world: w, id: id, kind: kind, address: address, clockRate: 1 - 0.02*w.random.Float64(), announceNow: make(chan struct{}, 1)}
 	s.reset()
+	if w.settings.Return {
+		s.startedAt = s.startedAt.Add(-rand.N(maxUptime))
+	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -111,7 +124,9 @@
 // reset clears the worker's state for a new generation.
 func (s *worker) reset() {
 	s.startedAt = time.Now()
+	s.earlierFence = max(s.earlierFence, s.fence)
 	s.fence, s.leaseEnd, s.number, s.sequence = 0, 0, 0, 0
+	s.leaveAt, s.drainingSince = time.Time{}, time.Time{}
 	s.running = make(map[string]*task)
 	s.highestAttempt = make(map[string]int)
 	s.ended = nil
@@ -144,12 +159,16 @@
 		}
 		s.isDown = false
 		s.startedAt = time.Now()
+		if s.world.settings.Return {
+			s.announceSoon()
+		}
 	})
 }
 
 // handleOrder returns a handler that decodes an order and carries it out. A share of
-// the orders, except lease renewals, is carried out late and gets no answer. These
-// orders are lost if the worker crashes before.
+// the orders, except lease renewals, is carried out late and gets no answer. If the
+// worker crashes before, these orders are lost, or arrive at its next generation where
+// workers come back under their id.
 func (s *worker) handleOrder(do func(*order) (int, *imitator.Answer)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if instance := r.Header.Get(imitator.InstanceHeader); instance != s.id {
@@ -170,7 +189,11 @@
 			panic(http.ErrAbortHandler)
 		}
 		if late && r.URL.Path != imitator.RenewPath {
-			time.AfterFunc(minLateDelay+rand.N(maxLateDelay-minLateDelay), func() {
+			longest := maxLateDelay
+			if s.world.settings.Return {
+				longest = maxLateInReturns
+			}
+			time.AfterFunc(minLateDelay+rand.N(longest-minLateDelay), func() {
 				body.Wait = -1
 				do(&body)
 			})
@@ -189,10 +212,13 @@
 
 // checkFence reports whether the order arrived at this generation and its term is not
 // older than the fence. If so, it raises the fence and extends the lease; the caller
-// holds the lock.
+// holds the lock. A late order to an earlier generation counts as well, where workers
+// come back under their id, once the leader has sent an order that can only be for this
+// generation: nothing could stop it before.
 func (s *worker) checkFence(b *order) (*imitator.Answer, bool) {
 	answer := &imitator.Answer{Clock: s.clock(), Born: s.startedAt.UnixMilli()}
-	if b.crashes != s.crashes {
+	isEarlier := b.crashes != s.crashes
+	if isEarlier && (!s.world.settings.Return || b.Wait >= 0 || s.isDown || s.fence <= s.earlierFence) {
 		return answer, false
 	}
 	if b.Term < s.fence {
@@ -228,6 +254,9 @@
 		answer.Reason = "late"
 		return http.StatusConflict, answer
 	}
+	if !s.drainingSince.IsZero() && time.Since(s.drainingSince) > drainTime && b.Wait >= 0 {
+		s.world.check.recordViolation("task %s started on %s, %v after it was acknowledged that this drains", b.Task, s.id, time.Since(s.drainingSince))
+	}
 	s.highestAttempt[b.Task] = b.Attempt
 	length, step := s.world.check.checkStart(s, &b.Order)
 	s.running[b.Task] = &task{attempt: b.Attempt, endsAt: time.Now().Add(length), duration: length, late: b.Wait < 0, step: step, fails: s.failing}
@@ -337,39 +366,66 @@
 	}
 }
 
-// sendHeartbeats announces the worker to the control process that the last answer
-// named, or to a random one after a failure.
+// sendHeartbeats announces the worker at regular intervals.
 func (s *worker) sendHeartbeats() {
 	client := s.world.newClient(time.Second)
 	for s.world.ctx.Err() == nil {
-		s.mu.Lock()
-		s.sequence++
-		isDown, controlAddress := s.isDown, s.controlAddress
-		body, err := imitator.Announcement(s.address, s.kind, workerCPU, workerMemory, s.clock(), s.startedAt.UnixMilli(), s.sequence)
-		s.mu.Unlock()
-		if err != nil {
-			panic(err)
-		}
 		wait := heartbeatInterval
-		if !isDown {
-			if controlAddress == "" {
-				controlAddress = s.world.randomControl()
-			}
-			next, ok := put(client, "http://"+controlAddress+imitator.AnnouncePath(s.id), body)
-			if !ok {
-				next, wait = "", 100*time.Millisecond
-			}
-			s.mu.Lock()
-			s.controlAddress = next
-			s.mu.Unlock()
+		if !s.announce(client) {
+			wait = 100 * time.Millisecond
 		}
 		select {
 		case <-time.After(wait):
+		case <-s.announceNow:
 		case <-s.world.ctx.Done():
 		}
 	}
 }
 
+// announce announces the worker to the control process that the last answer named, or
+// to a random one after a failure. It reports false if that failed.
+func (s *worker) announce(client *http.Client) bool {
+	s.mu.Lock()
+	s.sequence++
+	isDown, controlAddress, crashes, remaining := s.isDown, s.controlAddress, s.crashes, int64(-1)
+	if !s.leaveAt.IsZero() {
+		remaining = max(time.Until(s.leaveAt), 0).Milliseconds()
+	}
+	body, err := imitator.Announcement(s.address, s.kind, workerCPU, workerMemory, s.clock(), s.startedAt.UnixMilli(), s.sequence, remaining)
+	s.mu.Unlock()
+	if err != nil {
+		panic(err)
+	}
+	if isDown {
+		return true
+	}
+	if controlAddress == "" {
+		controlAddress = s.world.randomControl()
+	}
+	next, ok := put(client, "http://"+controlAddress+imitator.AnnouncePath(s.id), body)
+	if !ok {
+		next = ""
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if crashes != s.crashes {
+		return ok
+	}
+	s.controlAddress = next
+	if ok && remaining >= 0 && s.drainingSince.IsZero() {
+		s.drainingSince = time.Now()
+	}
+	return ok
+}
+
+// announceSoon makes the worker announce itself at once.
+func (s *worker) announceSoon() {
+	select {
+	case s.announceNow <- struct{}{}:
+	default:
+	}
+}
+
 // put sends a PUT request, and returns the address that the answer names and
 // whether the call succeeded.
 func put(client *http.Client, url string, body []byte) (string, bool) {
