A recorded departure leaves a newer generation of the worker alone

Callers would see tasks run twice: a worker that came back while the departure of its earlier generation was under way to the log was removed by it, with the attempts on the new generation, which run on. A departure named the worker only, and the leader proposes it again each second until it is recorded.

Change: a departure names the generation, and the replicated state keeps newer ones. The generations stand beside the ids in the log entry, so entries of earlier builds read as before, and earlier builds read new ones as before.

--- a/applier/applier.go
+++ b/applier/applier.go
@@ -128,7 +128,7 @@
 		return a.flows.RecordEnds(a.now, c.FlowEnds)
 	case modeler.RecordWorkers:
 		a.flows.RecordDepartures(a.now, c.Left)
-		return a.flows.UpdateWorkers(c.Announcements, c.Departed)
+		return a.flows.UpdateWorkers(c.Announcements, c.Departures())
 	default:
 		return modeler.Result{Kind: classifier.Internal, Detail: fmt.Sprintf("unknown command kind %d", c.Kind)}
 	}
--- a/controller/flows.go
+++ b/controller/flows.go
@@ -106,7 +106,8 @@
 		l.proposeEntries(now)
 	}
 	if len(out.Departed) > 0 {
-		command := &modeler.Command{Kind: modeler.RecordWorkers, Departed: out.Departed}
+		command := &modeler.Command{Kind: modeler.RecordWorkers}
+		command.SetDepartures(out.Departed)
 		if err := l.core.propose(now, command, nil); err != nil {
 			l.core.controller.settings.Report.Warn("departed workers are not recorded", "count", len(out.Departed), "error", err)
 		}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -36,7 +36,7 @@
 	Starts []modeler.FlowStart
 	Ends   []modeler.FlowEnd
 	// Departed lists workers to remove from the replicated state.
-	Departed []modeler.WorkerID
+	Departed []modeler.WorkerDeparture
 }
 
 // Dispatcher is the leader's state of workers and attempts; it is not
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -318,7 +318,7 @@
 // listDeparture lists a departed worker in the output, to be recorded.
 func (d *Dispatcher) listDeparture(now modeler.ClockReading, h *host) {
 	h.departureSentAt = now
-	d.out.Departed = append(d.out.Departed, h.worker.ID)
+	d.out.Departed = append(d.out.Departed, modeler.WorkerDeparture{Worker: h.worker.ID, Generation: h.worker.Generation})
 }
 
 func (d *Dispatcher) endRunsAsLost(h *host) {
--- a/dispatcher/permit_test.go
+++ b/dispatcher/permit_test.go
@@ -20,7 +20,7 @@
 	r.run(100 * time.Millisecond)
 	assert.Equal(t, r.permitRequests, 1)
 	w := r.sortedWorkers()[0]
-	r.commit(func() { r.state.UpdateWorkers(nil, []modeler.WorkerID{w.announcement.ID}) })
+	r.commit(func() { r.state.UpdateWorkers(nil, []modeler.WorkerDeparture{{Worker: w.announcement.ID}}) })
 	r.run(time.Second)
 	r.beginGeneration(w)
 	r.commitAnnouncement(w)
--- a/dispatcher/return_test.go
+++ b/dispatcher/return_test.go
@@ -246,3 +246,26 @@
 	r.run(time.Second)
 	assert.Equal(t, r.flowState("f"), modeler.FlowCompleted)
 }
+
+// Guards against a worker that is removed right after it has come back, with all that
+// runs there: the departure of its earlier generation was under way to the log.
+func TestDepartureSparesNewerGeneration(t *testing.T) {
+	for _, commitTime := range []time.Duration{300 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second} {
+		for away := 5 * time.Second; away < 10*time.Second; away += 250 * time.Millisecond {
+			r := newRig(t, 1)
+			r.addWorkers(2, 8)
+			r.run(time.Second)
+			r.commitTime = commitTime
+			w := r.workers["w00"]
+			r.crash(w)
+			r.run(away)
+			r.returnWorker(w)
+			lasting := step(8, 2, 100*time.Millisecond)
+			lasting.LongRunning = true
+			r.submit(flow("f", lasting))
+			r.run(2*commitTime + 10*time.Second)
+			assert.Equal(t, r.countRunning(), 8, "away for %v, commits of %v", away, commitTime)
+			assert.Equal(t, len(r.startOrder), 8, "away for %v, commits of %v", away, commitTime)
+		}
+	}
+}
--- a/modeler/command.go
+++ b/modeler/command.go
@@ -55,6 +55,36 @@
 	// that have announced their departure.
 	Departed []WorkerID `cbor:"18,keyasint,omitempty"`
 	Left     []WorkerID `cbor:"19,keyasint,omitempty"`
+	// DepartedGenerations holds the generations of the workers in Departed; newer ones
+	// stay. Entries of earlier builds lack it.
+	DepartedGenerations []Generation `cbor:"20,keyasint,omitempty"`
+}
+
+// WorkerDeparture is the loss of a worker's generation, and of earlier ones.
+type WorkerDeparture struct {
+	Worker WorkerID
+	// Generation is 0 if the departure is of whatever generation is known.
+	Generation Generation
+}
+
+// SetDepartures sets the workers that the leader has found to be lost.
+func (c *Command) SetDepartures(departures []WorkerDeparture) {
+	for _, d := range departures {
+		c.Departed = append(c.Departed, d.Worker)
+		c.DepartedGenerations = append(c.DepartedGenerations, d.Generation)
+	}
+}
+
+// Departures returns the workers that the leader has found to be lost.
+func (c *Command) Departures() []WorkerDeparture {
+	departures := make([]WorkerDeparture, len(c.Departed))
+	for i, id := range c.Departed {
+		departures[i].Worker = id
+		if i < len(c.DepartedGenerations) {
+			departures[i].Generation = c.DepartedGenerations[i]
+		}
+	}
+	return departures
 }
 
 // Claim reserves an idempotency key for one entry process before it sends
--- a/sequencer/sequencer.go
+++ b/sequencer/sequencer.go
@@ -654,8 +654,8 @@
 }
 
 // UpdateWorkers records new workers, new generations and workers that are leaving, and
-// removes departed ones.
-func (s *Sequencer) UpdateWorkers(machines []modeler.WorkerAnnouncement, departed []modeler.WorkerID) modeler.Result {
+// removes departed ones unless a newer generation of them is known.
+func (s *Sequencer) UpdateWorkers(machines []modeler.WorkerAnnouncement, departed []modeler.WorkerDeparture) modeler.Result {
 	for _, m := range machines {
 		held, known := s.workers[m.ID]
 		if known && m.Generation < held.Generation {
@@ -670,10 +670,11 @@
 		s.workers[m.ID] = m
 		s.recordChange(Change{Kind: WorkerUpdated, Worker: m.ID})
 	}
-	for _, id := range departed {
-		if _, known := s.workers[id]; known {
-			delete(s.workers, id)
-			s.recordChange(Change{Kind: WorkerDeparted, Worker: id})
+	for _, gone := range departed {
+		held, known := s.workers[gone.Worker]
+		if known && (gone.Generation == 0 || held.Generation <= gone.Generation) {
+			delete(s.workers, gone.Worker)
+			s.recordChange(Change{Kind: WorkerDeparted, Worker: gone.Worker})
 		}
 	}
 	return modeler.Result{}
