Backfill probes workers that have failed

Cause: a worker that was quarantined gets one task at a time until one has shown that it is sound; mayPlace kept backfill from it and addProbe did not count it. With no other work for the worker, nothing ever probed it.

Change: backfill probes too, counted apart from other probes, so that backfill throttled to a standstill keeps no other step from probing.

--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -370,7 +370,7 @@
 		return reason
 	case h.isQuarantined(now):
 		return "it is distrusted"
-	case h.probing && h.probes > 0:
+	case h.probing && h.probes.count > 0:
 		return "one task shows whether it has recovered"
 	default:
 		return ""
--- a/dispatcher/quarantine.go
+++ b/dispatcher/quarantine.go
@@ -54,13 +54,31 @@
 	// probing means that the worker was quarantined and has not been shown to be sound
 	// since.
 	probing bool
-	// probes counts the attempts on the worker that probe it, which are of probedBy.
-	probes   int
-	probedBy modeler.StepKey
+	// probes are the attempts that probe the worker, and backfillProbes those of
+	// backfill, which may be throttled to a standstill: they keep no other step from
+	// probing the worker.
+	probes, backfillProbes probes
 	// failedAt is when a task last failed, stalled or was slow there.
 	failedAt modeler.ClockReading
 }
 
+// probes counts the attempts of one step that probe a worker.
+type probes struct {
+	count int
+	step  modeler.StepKey
+}
+
+// admits reports whether a task of the step may be one of the probes.
+func (p *probes) admits(u *unit) bool { return p.count == 0 || u.step.Gang && p.step == u.key }
+
+// probesOf returns the probes that tasks of the step belong to.
+func (h *health) probesOf(step *modeler.Step) *probes {
+	if step.Backfill {
+		return &h.backfillProbes
+	}
+	return &h.probes
+}
+
 func (h *health) isQuarantined(now modeler.ClockReading) bool { return now < h.quarantineEnd }
 
 // serviceHealth is what the leader concludes about all workers of a service.
@@ -86,8 +104,7 @@
 	if !h.probing && !isQuarantined {
 		return true
 	}
-	// Backfill may be throttled to a standstill, so it shows nothing about a worker.
-	if u.step.Backfill || h.probes > 0 && !(u.step.Gang && h.probedBy == u.key) {
+	if !h.probesOf(u.step).admits(u) {
 		return false
 	}
 	return !isQuarantined || u.isLastResort && now.Sub(max(h.failedAt, u.probeFailedAt)) >= probeInterval
@@ -126,12 +143,12 @@
 
 // addProbe counts an attempt as a probe if it is placed on a worker that needs one.
 func (h *host) addProbe(now modeler.ClockReading, r *run) {
-	if r.phase != committing || r.unit == nil || r.unit.step.Backfill || !h.probing && !h.isQuarantined(now) {
+	if r.phase != committing || r.unit == nil || !h.probing && !h.isQuarantined(now) {
 		return
 	}
-	r.isProbe = true
-	h.probes++
-	h.probedBy = r.unit.key
+	r.probes = h.probesOf(r.unit.step)
+	r.probes.count++
+	r.probes.step = r.unit.key
 }
 
 // recordOutcome updates the worker's health after an attempt has ended there.
@@ -177,7 +194,7 @@
 		s.allFail = false
 		d.settings.Log("tasks of the service work again", "service", h.worker.Service, "worker", h.worker.ID)
 	}
-	if !r.isProbe {
+	if r.probes == nil {
 		return
 	}
 	d.settings.Log("worker is sound again", "worker", h.worker.ID, "after", now.Sub(h.failedAt).String())
@@ -187,7 +204,7 @@
 
 // noteFailedProbe records that an attempt which probes its worker has failed.
 func (r *run) noteFailedProbe(now modeler.ClockReading) {
-	if r.isProbe && r.unit != nil {
+	if r.probes != nil && r.unit != nil {
 		r.unit.probeFailedAt = now
 	}
 }
@@ -196,7 +213,7 @@
 // probed it go on as others do.
 func (h *host) endQuarantine() {
 	for _, r := range h.runs {
-		r.isProbe = false
+		r.probes = nil
 	}
 	failedAt := h.failedAt
 	h.health = health{failedAt: failedAt}
--- a/dispatcher/quarantine_test.go
+++ b/dispatcher/quarantine_test.go
@@ -153,3 +153,86 @@
 	}
 	assert.Assert(t, longest < 3*time.Second, "a sound flow took %v", longest)
 }
+
+// Guards against backfill that never starts after all workers that it may use have
+// failed: it was not placed on workers that were to be probed first, and no other work
+// came that probed them.
+func TestBackfillStartsAfterItsWorkersFailed(t *testing.T) {
+	for name, setFailing := range failures {
+		for _, workers := range []int{1, 3} {
+			for _, lasts := range []bool{false, true} {
+				for _, gang := range []bool{false, true} {
+					t.Run(fmt.Sprint(name, " on ", workers, " workers, lasts ", lasts, ", gang ", gang), func(t *testing.T) {
+						r := newRig(t, uint64(workers))
+						special := r.addKind(workers, 10)
+						for _, w := range special {
+							setFailing(w, true)
+						}
+						for i := range 4 {
+							s := step(2*workers, 2, 500*time.Millisecond)
+							s.Label = "b"
+							f := flow(modeler.FlowID(fmt.Sprint("failing", i)), s)
+							f.Policy.Attempts = 2
+							r.submit(f)
+							r.run(500 * time.Millisecond)
+							r.commit(func() { r.state.Cancel(r.stamp(), f.ID) })
+						}
+						r.run(4 * time.Second)
+						for _, w := range special {
+							setFailing(w, false)
+						}
+						filling := lasting(2 * workers)
+						filling.Backfill, filling.LongRunning, filling.Gang = true, lasts, gang
+						r.submit(flow("filling", filling))
+						r.run(5 * time.Second)
+						if lasts {
+							assert.Equal(t, r.runningTasks("filling"), 2*workers)
+							return
+						}
+						assert.Equal(t, r.flowState("filling"), modeler.FlowCompleted)
+					})
+				}
+			}
+		}
+	}
+}
+
+// Guards against backfill that keeps other work from probing a worker: it may be throttled
+// to a standstill, and then shows nothing about its worker.
+func TestThrottledBackfillDoesNotBlockProbes(t *testing.T) {
+	r := newRig(t, 1)
+	w := r.addKind(1, 10)[0]
+	w.failsTasks = true
+	for i := range 3 {
+		s := step(1, 2, 500*time.Millisecond)
+		s.Label = "b"
+		r.submit(flow(modeler.FlowID(fmt.Sprint("failing", i)), s))
+		r.run(500 * time.Millisecond)
+	}
+	r.run(time.Second)
+	w.failsTasks = false
+	filling := lasting(1)
+	filling.Backfill = true
+	r.submit(flow("filling", filling))
+	for range 300 {
+		for _, j := range w.running {
+			if j.share == 100 {
+				j.share, j.done = 0, 0
+			}
+		}
+		r.step()
+	}
+	assert.Equal(t, r.runningTasks("filling"), 1)
+	s := step(1, 2, 500*time.Millisecond)
+	s.Label = "b"
+	r.submit(flow("f", s))
+	for range 300 {
+		for task, j := range w.running {
+			if task.Flow == "filling" {
+				j.share, j.done = 0, 0
+			}
+		}
+		r.step()
+	}
+	assert.Equal(t, r.flowState("f"), modeler.FlowCompleted)
+}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -107,8 +107,9 @@
 	// predatesLeader means that the attempt was started by an earlier leader, so
 	// its run time is unknown.
 	predatesLeader bool
-	// isProbe means that the attempt shows whether its worker is sound again.
-	isProbe bool
+	// probes counts the attempt if it shows whether its worker is sound again, and is nil
+	// otherwise.
+	probes *probes
 	// throttlePending means that an order to change the share has no answer yet.
 	throttlePending bool
 }
@@ -188,8 +189,8 @@
 	if r.host.runs[r.task] == r {
 		delete(r.host.runs, r.task)
 		r.host.used = r.host.used.Sub(r.need)
-		if r.isProbe {
-			r.host.probes--
+		if r.probes != nil {
+			r.probes.count--
 		}
 		if r.unit != nil {
 			r.unit.countRun(r.host, -1)
