Late orders count once a leader that knows the new generation has renewed it

Now a late order to an earlier generation is carried out once an order to the new one has arrived (rig), or a renewal after an acknowledged announcement (soak).

--- a/dispatcher/rig_test.go
+++ b/dispatcher/rig_test.go
@@ -63,8 +63,8 @@
 	// speed is its speed relative to a usual worker; 0 means 1.
 	speed        float64
 	highestFence modeler.FencingToken
-	// earlierFence is the highest token that an earlier generation has seen.
-	earlierFence  modeler.FencingToken
+	// isOrdered means that an order to this generation has arrived.
+	isOrdered     bool
 	leaseDeadline modeler.WorkerClock
 	// leaseExpiredAt is when its lease was last found to have expired.
 	leaseExpiredAt modeler.ClockReading
@@ -260,7 +260,6 @@
 	fresh := *w
 	*w = worker{announcement: fresh.announcement, startedAt: r.now, clockRate: fresh.clockRate, running: make(map[modeler.FlowTask]*runningTask), highestAttempt: make(map[modeler.FlowTask]modeler.Attempt)}
 	w.announcement.Generation = modeler.Generation(r.now)
-	w.earlierFence = max(fresh.earlierFence, fresh.highestFence)
 }
 
 func (r *rig) submit(f modeler.Flow) {
@@ -436,7 +435,7 @@
 			delay = r.lateDelay
 		}
 		r.schedule(delay, func() {
-			survives := r.lateOrdersSurviveRestart && (w.highestFence > w.earlierFence || r.lateOrdersArriveFirst)
+			survives := r.lateOrdersSurviveRestart && (w.isOrdered || r.lateOrdersArriveFirst)
 			if survives || w.announcement.Generation == o.Generation {
 				r.executingLateOrder = true
 				r.handle(w, o)
@@ -481,6 +480,7 @@
 		return a
 	}
 	w.highestFence = o.Fence
+	w.isOrdered = w.isOrdered || o.Generation == w.announcement.Generation
 	if o.Deadline > 0 {
 		w.leaseDeadline = max(w.leaseDeadline, min(o.Deadline, clock.Add(lease)))
 	}
--- a/soaker/worker.go
+++ b/soaker/worker.go
@@ -48,8 +48,9 @@
 	startedAt time.Time
 	clockRate float64
 	fence     uint64
-	// earlierFence is the highest fencing token that an earlier generation has seen.
-	earlierFence uint64
+	// isKnown means that an announcement of this generation was acknowledged, and
+	// isOrdered that a renewal has arrived since.
+	isKnown, isOrdered bool
 	// leaseEnd is in milliseconds of the worker's clock.
 	leaseEnd int64
 	// number is that of the newest task end since the worker started.
@@ -124,7 +125,7 @@
 // reset clears the worker's state for a new generation.
 func (s *worker) reset() {
 	s.startedAt = time.Now()
-	s.earlierFence = max(s.earlierFence, s.fence)
+	s.isKnown, s.isOrdered = false, false
 	s.fence, s.leaseEnd, s.number, s.sequence = 0, 0, 0, 0
 	s.leaveAt, s.drainingSince = time.Time{}, time.Time{}
 	s.running = make(map[string]*task)
@@ -213,12 +214,12 @@
 // checkFence reports whether the order arrived at this generation and its term is not
 // older than the fence. If so, it raises the fence and extends the lease; the caller
 // holds the lock. A late order to an earlier generation counts as well, where workers
-// come back under their id, once the leader has sent an order that can only be for this
-// generation: nothing could stop it before.
+// come back under their id, once a leader that knows of this generation has renewed its
+// lease: nothing could stop the order before.
 func (s *worker) checkFence(b *order) (*imitator.Answer, bool) {
 	answer := &imitator.Answer{Clock: s.clock(), Born: s.startedAt.UnixMilli()}
 	isEarlier := b.crashes != s.crashes
-	if isEarlier && (!s.world.settings.Return || b.Wait >= 0 || s.isDown || s.fence <= s.earlierFence) {
+	if isEarlier && (!s.world.settings.Return || b.Wait >= 0 || s.isDown || !s.isOrdered) {
 		return answer, false
 	}
 	if b.Term < s.fence {
@@ -294,6 +295,7 @@
 		s.mu.Unlock()
 		return http.StatusConflict, answer
 	}
+	s.isOrdered = s.isOrdered || s.isKnown && b.crashes == s.crashes
 	for len(s.ended) > 0 && s.ended[0].number <= b.Cursor {
 		if s.ended[0].state == "done" {
 			s.world.check.endAcknowledged(s.ended[0].name)
@@ -412,6 +414,7 @@
 		return ok
 	}
 	s.controlAddress = next
+	s.isKnown = s.isKnown || ok
 	if ok && remaining >= 0 && s.drainingSince.IsZero() {
 		s.drainingSince = time.Now()
 	}
