A worker ends others at its address only once it has answered there

PROTOCOL.md: "It names no worker to use; the others hold."

Cause: the announcement alone ended the older worker at the address.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -149,8 +149,7 @@
 		placeRound:    1,
 	}
 	for _, m := range state.Workers() {
-		h := d.addHost(now, m)
-		d.endOthersAtAddress(now, h)
+		d.addHost(now, m)
 	}
 	d.settings.Log("workers taken over", "count", len(d.hostList), "term", term)
 	state.ForEachFlow(func(f *sequencer.Flow) { d.restoreFlow(now, f) })
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -189,7 +189,6 @@
 			d.evacuate(now, h)
 		}
 	}
-	d.endOthersAtAddress(now, d.hosts[id])
 }
 
 func (d *Dispatcher) addHost(now modeler.ClockReading, m modeler.WorkerAnnouncement) *host {
@@ -257,15 +256,13 @@
 	}
 }
 
-// endOthersAtAddress ends the older of two workers that share an address, since
-// only one process can listen there.
+// endOthersAtAddress ends the older workers at the address of one that has answered
+// there, since only one process can listen at an address. An announcement alone shows
+// nothing, as it may be of another writer.
 func (d *Dispatcher) endOthersAtAddress(now modeler.ClockReading, h *host) {
 	for _, other := range d.hostsAt[h.worker.Address] {
-		switch {
-		case other.worker.Generation < h.worker.Generation:
-			d.endWorker(now, other, "another worker has its address")
-		case other.worker.Generation > h.worker.Generation:
-			d.endWorker(now, h, "another worker has its address")
+		if other.worker.Generation < h.worker.Generation {
+			d.endWorker(now, other, "another worker answers at its address")
 		}
 	}
 }
@@ -555,6 +552,7 @@
 	if first {
 		// An earlier leader may have granted a lease of this length.
 		h.leaseLimit = a.Clock.Add(d.settings.MaxLease)
+		d.endOthersAtAddress(now, h)
 	}
 	seen := make(map[modeler.FlowTask]modeler.Attempt, len(a.Running)+len(a.Ended))
 	for i := range a.Running {
--- a/dispatcher/rig_test.go
+++ b/dispatcher/rig_test.go
@@ -422,6 +422,8 @@
 	w := r.workers[o.Worker]
 	chance := r.random.Float64()
 	switch {
+	case (w == nil || w.down) && r.listensAt(o.Address):
+		lost(modeler.OrderWrongWorker, networkDelay)
 	case w == nil || w.down || w.unreachable:
 		lost(modeler.OrderUnsent, networkDelay)
 	case w.isolated || chance < r.faultRates.unanswered:
@@ -465,6 +467,16 @@
 	}
 }
 
+// listensAt reports whether a worker that can be reached listens at the address.
+func (r *rig) listensAt(address string) bool {
+	for _, w := range r.workers {
+		if w.announcement.Address == address && !w.down && !w.unreachable && !w.isolated {
+			return true
+		}
+	}
+	return false
+}
+
 // handle carries out an order on a worker and returns the answer.
 func (r *rig) handle(w *worker, o modeler.Order) modeler.OrderAnswer {
 	if w.down {
