--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -111,7 +111,9 @@
 	// pendingEnds counts the listed ends that are proposed but not committed.
 	pendingEnds int
 	used        modeler.Resources
-	runs        map[modeler.FlowTask]*run
+	// unsized counts the attempts of which it is not known what they use.
+	unsized int
+	runs    map[modeler.FlowTask]*run
 	// reservations holds the room that is kept for waiting steps.
 	reservations []*reservation
 	// heardAt is when the worker's last answer arrived, and announcedAt its last
@@ -389,6 +391,8 @@
 		return "a start had to be sent again"
 	case d.heardBy(now).Sub(h.announcedAt) > maxAnnouncementAge:
 		return "its announcements are missing"
+	case h.unsized > 0:
+		return "an attempt of unknown size ends there"
 	default:
 		return ""
 	}
--- a/dispatcher/rig_test.go
+++ b/dispatcher/rig_test.go
@@ -76,12 +76,14 @@
 
 type runningTask struct {
 	attempt modeler.Attempt
-	work    time.Duration
-	done    time.Duration
-	gang    bool
-	share   int
-	load    int
-	began   modeler.ClockReading
+	// need is what the task uses of its worker's capacity, also after its flow is over.
+	need  modeler.Resources
+	work  time.Duration
+	done  time.Duration
+	gang  bool
+	share int
+	load  int
+	began modeler.ClockReading
 	// checkpoints means that the task saves its progress at each checkpointInterval
 	// of work.
 	checkpoints bool
@@ -559,7 +561,11 @@
 	}
 	step := &f.Spec.Steps[o.Task.Step]
 	w.highestAttempt[o.Task] = o.Attempt
-	w.running[o.Task] = &runningTask{attempt: o.Attempt, work: step.Estimate, gang: step.Gang, share: 100, began: r.now, checkpoints: step.Checkpoints}
+	need := step.Need
+	if step.Backfill {
+		need.Processors = 0
+	}
+	w.running[o.Task] = &runningTask{attempt: o.Attempt, need: need, work: step.Estimate, gang: step.Gang, share: 100, began: r.now, checkpoints: step.Checkpoints}
 	if o.Saved != "" {
 		steps, err := time.ParseDuration(string(o.Saved))
 		assert.NilError(r.t, err)
@@ -585,16 +591,8 @@
 func (r *rig) checkStart(w *worker, f *sequencer.Flow, step *modeler.Step, o modeler.Order) {
 	r.t.Helper()
 	var used modeler.Resources
-	for task := range w.running {
-		g, found := r.state.Flow(task.Flow)
-		if !found || len(g.Spec.Steps) == 0 {
-			continue
-		}
-		need := g.Spec.Steps[task.Step].Need
-		if g.Spec.Steps[task.Step].Backfill {
-			need.Processors = 0
-		}
-		used = used.Add(need)
+	for _, j := range w.running {
+		used = used.Add(j.need)
 	}
 	if !used.Fits(w.announcement.Capacity) {
 		r.t.Errorf("%v: worker %s holds %v of %v after the start of %v", time.Duration(r.now), w.announcement.ID, used, w.announcement.Capacity, o.Task)
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -53,6 +53,8 @@
 	// because their start was delivered late. They occupy resources and block the
 	// next attempt of their task until a stop of them is confirmed.
 	orphaned bool
+	// unsized means that it is not known what the attempt uses on its worker.
+	unsized bool
 	// abandoned attempts may still run while their task may start elsewhere. They
 	// occupy resources until their end is known. The first attempt that is done
 	// completes the task.
@@ -181,6 +183,11 @@
 	}
 	r := d.addOlderRun(now, h, task, attempt, running)
 	r.orphaned = true
+	if d.step(task) == nil {
+		// What the task needs was dropped with its flow.
+		r.unsized = true
+		h.unsized++
+	}
 	d.stopRun(now, r, why)
 }
 
@@ -189,6 +196,9 @@
 	if r.host.runs[r.task] == r {
 		delete(r.host.runs, r.task)
 		r.host.used = r.host.used.Sub(r.need)
+		if r.unsized {
+			r.host.unsized--
+		}
 		if r.probes != nil {
 			r.probes.count--
 		}
@@ -220,6 +230,9 @@
 	r.generationState = newGenerationState(now)
 	h.runs[r.task] = r
 	h.used = h.used.Add(r.need)
+	if r.unsized {
+		h.unsized++
+	}
 }
 
 // endRun removes an attempt that certainly doesn't run any more and, if needed,
