Soak: hosts on a disk whose syncs take long count as lost

DEPLOY.md: "A machine is lost while it is down, frozen, slowed or cut off. It also remains lost for `catch_up_s` after it is back", and a faulty disk is slow or hangs. A disk that all hosts share and that takes over 0.4 s for a sync slows all of them, as a processor does that the soak counts already (watchDelays).

Change: the soak syncs a file of its own each 0.2 s and counts all control hosts as lost while a sync takes over 0.4 s, and for the time to catch up after it. Faults without such syncs are as before. The leader also proposes the next change of members as soon as one is committed, up to a tick earlier.

--- a/controller/core.go
+++ b/controller/core.go
@@ -376,6 +376,10 @@
 				return err
 			}
 		}
+		if e.Kind == modeler.MemberEntry {
+			// The next change of the members may be due.
+			c.nextTick = 0
+		}
 		c.forwardFlowChanges()
 		c.appliedTerm = e.Term
 		c.appliedIndex = e.Index
--- a/soaker/delay.go
+++ b/soaker/delay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -11,8 +12,8 @@
 const (
 	// delayCheckInterval is the time between two checks of the machine's delays.
 	delayCheckInterval = 200 * time.Millisecond
-	// longestDelay is the longest wait for a processor that doesn't count as a loss of
-	// the host. Members hold elections after longer ones.
+	// longestDelay is the longest wait for a processor, or for a sync of the disk, that
+	// doesn't count as a loss of the host. Members hold elections after longer ones.
 	longestDelay = 400 * time.Millisecond
 	// maxBusyTime bounds the wait for a machine that goes on delaying processes.
 	maxBusyTime = 30 * time.Second
@@ -38,6 +39,40 @@
 	}
 }
 
+// watchDisk counts all control hosts as lost while a sync of the disk that they share
+// takes long, until ctx ends.
+func (w *world) watchDisk(ctx context.Context) {
+	file, err := os.Create(filepath.Join(w.settings.Folder, "probe"))
+	if err != nil {
+		w.check.recordViolation("the soak can't probe the disk: %v", err)
+		return
+	}
+	defer file.Close()
+	for ; ctx.Err() == nil; w.sleep(delayCheckInterval) {
+		begun, synced := time.Now(), make(chan error, 1)
+		go func() {
+			_, err := file.WriteAt([]byte(begun.String()), 0)
+			synced <- errors.Join(err, file.Sync())
+		}()
+		w.awaitSync(begun, synced)
+	}
+}
+
+// awaitSync waits for a sync that began at the given time.
+func (w *world) awaitSync(begun time.Time, synced <-chan error) {
+	for {
+		select {
+		case err := <-synced:
+			if err != nil {
+				w.check.recordViolation("the soak can't probe the disk: %v", err)
+			}
+			return
+		case <-time.After(longestDelay):
+			w.noteDelay("all syncs", time.Since(begun), w.controlHosts()...)
+		}
+	}
+}
+
 // noteDelay counts the processes as lost until they have had the time to catch up.
 func (w *world) noteDelay(name string, delay time.Duration, lost ...*process) {
 	w.logFault("the machine delays %s by %v", name, delay.Round(time.Millisecond))
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -138,6 +138,7 @@
 	watching, endWatching := context.WithCancel(ctx)
 	defer endWatching()
 	watcher.Go(func() { w.watchDelays(watching) })
+	watcher.Go(func() { w.watchDisk(watching) })
 	var callers sync.WaitGroup
 	running, end := context.WithCancel(ctx)
 	defer end()
