A flow whose starts were all refused is pending again

PROTOCOL.md: "the number of the queue's accepted jobs for which no task has started."

Cause: a committed start made the flow running for good, also if the worker refused it. Change: if all attempts so far have ended as unstarted, the flow is pending again. An attempt that a new generation of its worker does not list ends as lost, as it may have run on the earlier one.

--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -597,11 +597,22 @@
 		case r.stopAckClock > 0 && clock > r.stopAckClock:
 			// The worker answered a stop before it made this list, so the attempt
 			// can no longer begin.
-			d.endRun(r, modeler.EndUnstarted, "")
+			d.endRun(r, d.unlistedEnd(r), "")
 		}
 	}
 }
 
+// unlistedEnd returns how an attempt ended that its worker lists neither as running nor as
+// ended: it was not started there, but may have run on an earlier generation.
+func (d *Dispatcher) unlistedEnd(r *run) modeler.EndKind {
+	if f, found := d.state.Flow(r.task.Flow); found {
+		if t := f.Task(r.task); t != nil && t.Attempt == r.attempt && t.Generation != r.host.worker.Generation {
+			return modeler.EndLost
+		}
+	}
+	return modeler.EndUnstarted
+}
+
 func (d *Dispatcher) reconcileRunning(now modeler.ClockReading, h *host, e *modeler.RunningAttempt) {
 	r := h.runs[e.Task]
 	if r == nil && d.state.OlderAttemptMayComplete(e.Task) {
--- a/sequencer/sequencer.go
+++ b/sequencer/sequencer.go
@@ -67,6 +67,9 @@
 	OpenTasks int `cbor:"6,keyasint"`
 	// OccupiedTasks counts the tasks whose newest attempt may still run.
 	OccupiedTasks int `cbor:"7,keyasint,omitempty"`
+	// HasBegun means that an attempt has ended of which it is not known that it never
+	// started.
+	HasBegun bool `cbor:"8,keyasint,omitempty"`
 	// stepOffset is the position of each step's first task within an occurrence,
 	// and tasksPerOccurrence the number of tasks of one occurrence.
 	stepOffset         []int
@@ -212,6 +215,9 @@
 		}
 	}
 	f.State = state
+	if state == modeler.FlowPending {
+		s.pending[f.Spec.Queue]++
+	}
 }
 
 // ForEachFlow calls visit for every flow, in no particular order.
@@ -528,6 +534,11 @@
 		return
 	}
 	f.vacate(t, end.Task.StepKey())
+	f.HasBegun = f.HasBegun || end.Kind != modeler.EndUnstarted
+	if !f.HasBegun && f.OccupiedTasks == 0 && !f.IsOver() {
+		// No worker has started a task, so the flow waits as before.
+		s.setState(f, modeler.FlowPending)
+	}
 	if t.Phase == TaskPlaced {
 		t.Phase = TaskWaiting
 		if !f.IsOver() {
--- a/sequencer/sequencer_test.go
+++ b/sequencer/sequencer_test.go
@@ -335,3 +335,41 @@
 	held, _ := s.Flow("f")
 	assert.Equal(t, held.Tasks[0].Phase, sequencer.TaskDone)
 }
+
+// Guards against flows that count as started although workers have refused all starts of
+// them, so that the count of waiting flows leaves them out.
+func TestRefusedStartsLeaveFlowPending(t *testing.T) {
+	s := newState()
+	s.Submit(1, oneStepFlow("f", 2))
+	pending := func(want int, state modeler.FlowState) {
+		t.Helper()
+		assert.Equal(t, s.Pending("q"), want)
+		assert.Equal(t, flowState(t, s, "f"), state)
+		saved := s.TakeSnapshot()
+		fresh := sequencer.New()
+		fresh.Restore(&saved)
+		assert.Equal(t, fresh.Pending("q"), want)
+		assert.Equal(t, flowState(t, fresh, "f"), state)
+	}
+	pending(1, modeler.FlowPending)
+	s.RecordStarts(start("f", 0, 1))
+	s.RecordStarts(start("f", 1, 1))
+	pending(0, modeler.FlowRunning)
+	s.RecordEnds(2, end("f", 0, 1, modeler.EndUnstarted))
+	pending(0, modeler.FlowRunning)
+	s.RecordEnds(2, end("f", 1, 1, modeler.EndUnstarted))
+	pending(1, modeler.FlowPending)
+	s.RecordStarts(start("f", 0, 2))
+	pending(0, modeler.FlowRunning)
+	s.RecordEnds(3, end("f", 0, 2, modeler.EndLost))
+	pending(0, modeler.FlowRunning)
+	s.RecordStarts(start("f", 0, 3))
+	s.RecordEnds(4, end("f", 0, 3, modeler.EndUnstarted))
+	pending(0, modeler.FlowRunning)
+	s.Submit(5, oneStepFlow("g", 1))
+	s.RecordStarts(start("g", 0, 1))
+	s.Cancel(6, "g")
+	s.RecordEnds(7, end("g", 0, 1, modeler.EndUnstarted))
+	assert.Equal(t, flowState(t, s, "g"), modeler.FlowCancelled)
+	assert.Equal(t, s.Pending("q"), 0)
+}
