Backfill is stopped within the disruption budget of its step

Change: such a task is stopped only while fewer others of its step are away than the budget, and stays throttled to 0 otherwise.

--- a/dispatcher/pace.go
+++ b/dispatcher/pace.go
@@ -53,7 +53,7 @@
 }
 
 func (d *Dispatcher) throttleRun(now modeler.ClockReading, r *run, serves bool, worst float64, since modeler.ClockReading) {
-	if serves && since != 0 && now.Sub(since) > d.settings.MaxTimeOverTarget/overTargetDivisor {
+	if serves && since != 0 && now.Sub(since) > d.settings.MaxTimeOverTarget/overTargetDivisor && d.budgetAllowsStop(r) {
 		d.stopRun(now, r, "a serving task beside it is over its target")
 		return
 	}
@@ -75,3 +75,25 @@
 	d.logTask("task throttled", r.task, r.attempt, r.host.worker.ID, "percent", share, "worst", worst)
 	d.send(r.host, modeler.Order{Kind: modeler.ThrottleOrder, Task: r.task, Attempt: r.attempt, Percent: share})
 }
+
+// budgetAllowsStop reports whether an attempt may be stopped within the disruption budget
+// of its step: fewer other tasks of the step are away than the budget. A step without a
+// budget has no bound, and a task that isn't at work doesn't count.
+func (d *Dispatcher) budgetAllowsStop(r *run) bool {
+	budget := r.unit.step.DisruptionBudget
+	if budget == 0 || !r.isAtWork() {
+		return true
+	}
+	away := 0
+	for i := range r.unit.step.Count {
+		other := d.runs[r.unit.task(modeler.TaskIndex(i))]
+		if other != r && (other == nil || !other.isAtWork()) {
+			away++
+		}
+	}
+	return away < budget
+}
+
+// isAtWork reports whether an attempt of a task that lasts is at work and not being
+// stopped.
+func (r *run) isAtWork() bool { return r.phase == running && !r.stopping && r.percent >= 100 }
