A new leader stops the tasks of workers that leave already

Callers would lose work: a worker that drained while the leader changed kept its tasks that last, and those with checkpoints, until it was gone, since they were stopped only when the leader saw it begin to leave.

Change: the first list of a leaving worker is followed by the stops.

--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -577,6 +577,10 @@
 	} else {
 		d.endUnlisted(now, h, a.Clock, seen)
 	}
+	if first && h.worker.Leaving {
+		// An earlier leader may have ended before its stops were sent.
+		d.evacuate(now, h)
+	}
 	d.throttleBackfill(now, h)
 }
 
--- a/dispatcher/return_test.go
+++ b/dispatcher/return_test.go
@@ -269,3 +269,22 @@
 		}
 	}
 }
+
+// Guards against work that is lost with a worker that leaves while the leader changes: the
+// new one stopped only the tasks of workers that began to leave later.
+func TestNewLeaderDrainsLeavingWorker(t *testing.T) {
+	r := newRig(t, 1)
+	r.addWorkers(4, 8)
+	lasting := step(2, 1, 100*time.Millisecond)
+	lasting.LongRunning = true
+	r.submit(flow("lasting", lasting))
+	r.run(2 * time.Second)
+	w := r.busiest()
+	w.announcement.Leaving, w.announcement.Remaining = true, 2*time.Second
+	// The former leader is gone before it has sent its orders.
+	r.commitAnnouncement(w)
+	r.electLeader()
+	r.run(time.Second)
+	assert.Equal(t, len(w.running), 0, "%v still run there", w.sortedTasks())
+	assert.Equal(t, r.countRunning(), 2)
+}
