--- a/dispatcher/stats.go
+++ b/dispatcher/stats.go
@@ -20,10 +20,10 @@
 	Units       int `json:"units"`
 	Runs        int `json:"runs"`
 	Waiting     int `json:"waiting"`
-	// Stopping counts the attempts that are being stopped, and OverdueStops those that
+	// Stopping counts the attempts that are being stopped, and Overdue those that
 	// have not ended for 3 s.
-	Stopping     int `json:"stopping"`
-	OverdueStops int `json:"overdue_stops"`
+	Stopping int `json:"stopping"`
+	Overdue  int `json:"overdue"`
 	// Steps lists the first waiting steps in scheduling order, and Idle the workers
 	// that get no tasks.
 	Steps []WaitingStep `json:"steps,omitempty"`
@@ -71,7 +71,7 @@
 				s.Stopping++
 			}
 			if r.stopOverdue {
-				s.OverdueStops++
+				s.Overdue++
 			}
 		}
 		if h.isQuarantined(now) {
