modeler: client accounts, keys and public queues

Cause: two customers have client accounts; the layout, the flows and the calls had no place for them. Change: types only, shared by the parts that follow: Account (a team with key digests), Layout.Keyed, Accounts and Former, Queue.Public, Flow.Team and BeyondShare, Call.Key, NoLimit; error kind unauthorized (401, not run). docs/design/hard-load.md tells what each part does.

--- a/classifier/kind.go
+++ b/classifier/kind.go
@@ -41,6 +41,7 @@
 	AnswerDropped
 	CallerGone
 	Internal
+	Unauthorized
 	kindCount
 )
 
@@ -105,6 +106,7 @@
 	AnswerDropped:   {Name: "answer-dropped", Status: http.StatusConflict, Outcome: OutcomeRun},
 	CallerGone:      {Name: "caller-gone", Status: 499, Outcome: OutcomeUnknown},
 	Internal:        {Name: "internal", Status: http.StatusInternalServerError, Outcome: OutcomeUnknown},
+	Unauthorized:    {Name: "unauthorized", Status: http.StatusUnauthorized, Outcome: OutcomeNotRun},
 }
 
 // Answer returns the answer for the kind, or that for Internal if the kind isn't
--- a/modeler/flow.go
+++ b/modeler/flow.go
@@ -1,6 +1,9 @@
 package modeler
 
-import "time"
+import (
+	"crypto/sha256"
+	"time"
+)
 
 // FlowID identifies a job made of steps; the caller chooses it.
 type FlowID string
@@ -138,6 +141,11 @@
 	Interval    time.Duration `cbor:"7,keyasint,omitempty"`
 	// Policy is the policy of the queue when the flow was submitted.
 	Policy QueuePolicy `cbor:"8,keyasint"`
+	// Team is the account that the flow belongs to, or "" if it belongs to none.
+	Team TeamName `cbor:"9,keyasint,omitempty"`
+	// BeyondShare is set when the account had used up its share of accepted flows when
+	// the flow was accepted.
+	BeyondShare bool `cbor:"10,keyasint,omitempty"`
 }
 
 // FlowState is the state of a flow as callers see it.
@@ -159,6 +167,8 @@
 	Policy QueuePolicy `cbor:"3,keyasint"`
 	// Timeout is the maximum time of a caller's request.
 	Timeout time.Duration `cbor:"4,keyasint,omitempty"`
+	// Public is set when calls need no key.
+	Public bool `cbor:"5,keyasint,omitempty"`
 }
 
 // ID returns the queue's identity.
@@ -172,6 +182,25 @@
 	Services []ServiceName `cbor:"4,keyasint,omitempty"`
 	// Document is the ticket as the operator wrote it.
 	Document []byte `cbor:"3,keyasint"`
+	// Keyed is set when calls to queues that are not public need the key of an account.
+	// It doesn't follow from Accounts, since a layout without accounts must not admit
+	// every caller.
+	Keyed    bool      `cbor:"5,keyasint,omitempty"`
+	Accounts []Account `cbor:"6,keyasint,omitempty"`
+	// Former lists the accounts that were removed while flows of theirs were not over.
+	// Those flows stay within the last quota of their account.
+	Former []Account `cbor:"7,keyasint,omitempty"`
+}
+
+// KeyDigest is the SHA-256 digest of an API key. Keys themselves are secrets that stand
+// only in the layout's document.
+type KeyDigest [sha256.Size]byte
+
+// Account is the account of a client: a team, whose quota and weight apply to its flows,
+// with the keys that its callers present.
+type Account struct {
+	Team Team        `cbor:"1,keyasint"`
+	Keys []KeyDigest `cbor:"2,keyasint,omitempty"`
 }
 
 // WorkerAnnouncement is the description that a worker sends to the scheduler of
@@ -286,6 +315,9 @@
 	Layout       *Layout             `cbor:"5,keyasint,omitempty"`
 	Announcement *WorkerAnnouncement `cbor:"6,keyasint,omitempty"`
 	Member       *Member             `cbor:"7,keyasint,omitempty"`
+	// Key is the digest of the API key that the caller presented, or nil without a valid
+	// one.
+	Key *KeyDigest `cbor:"8,keyasint,omitempty"`
 	// Wait is how long the caller waits for the answer; it isn't sent to the
 	// leader.
 	Wait time.Duration `cbor:"-"`
--- a/modeler/unit.go
+++ b/modeler/unit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -21,6 +22,9 @@
 	Accelerators Accelerators `json:"accelerators"`
 }
 
+// NoLimit is a quota that nothing exceeds. Its quarter of the range leaves room for sums.
+var NoLimit = Resources{Processors: math.MaxInt64 / 4, Memory: math.MaxInt64 / 4, Accelerators: math.MaxInt64 / 4}
+
 // Add returns the sum of r and other.
 func (r Resources) Add(other Resources) Resources {
 	r.Processors += other.Processors
