Client accounts: keys, quotas and shares of flows

Change: the leader checks the digest of the caller's key on the committed layout, 401 otherwise; package accountant maps keys to accounts and follows what runs; the dispatcher starts nothing beyond a quota, and puts flows beyond the share of their account (a token bucket of its weight a second) behind all others; such flows are refused while one of their queue waits late. Only layouts with accounts are affected.

--- a/controller/flows.go
+++ b/controller/flows.go
@@ -1,12 +1,16 @@
 package controller
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
+	"goldcreststack.example/goldcreststack/accountant"
 	"goldcreststack.example/goldcreststack/carrier"
 	"goldcreststack.example/goldcreststack/classifier"
 	"goldcreststack.example/goldcreststack/dispatcher"
+	"goldcreststack.example/goldcreststack/limiter"
 	"goldcreststack.example/goldcreststack/linker"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/sequencer"
@@ -51,6 +55,11 @@
 	refusesFlows bool
 	// proposed is the load of the flows that are proposed but not committed.
 	proposed sequencer.Load
+	// directory has the keys of the layout with the number directoryOf, and shares the
+	// token buckets of its accounts.
+	directory   *accountant.Directory
+	directoryOf modeler.TicketNumber
+	shares      *limiter.Buckets
 	// starts and ends are proposed for the log together at nextEntry.
 	starts    []modeler.FlowStart
 	ends      []modeler.FlowEnd
@@ -78,13 +87,69 @@
 		questions: make(map[*linker.Link]*modeler.PermitRequest),
 
 		carrier: carrier.New(term),
+		shares:  limiter.NewBuckets(maxMeteredAccounts),
 	}
+	l.restoreShares()
 	for link := range c.entrySessions {
 		l.addLink(link)
 	}
 	return l
 }
 
+// maxMeteredAccounts bounds the accounts whose accepted flows are counted; beyond that
+// the least recently used ones start with an unused share.
+const maxMeteredAccounts = 4096
+
+// restoreShares takes the flows that earlier leaders have accepted in the last second,
+// which a token bucket covers, from the shares of their accounts.
+func (l *flowLeadership) restoreShares() {
+	var recent []*sequencer.Flow
+	since := l.core.logTime().Add(-time.Second)
+	l.core.state.Flows().ForEachFlow(func(f *sequencer.Flow) {
+		if f.Spec.Team != "" && !f.Spec.BeyondShare && f.ArrivedAt >= since {
+			recent = append(recent, f)
+		}
+	})
+	slices.SortFunc(recent, func(a, b *sequencer.Flow) int { return cmp.Compare(a.ArrivedAt, b.ArrivedAt) })
+	for _, f := range recent {
+		l.isBeyondShare(f.ArrivedAt, f.Spec.Team)
+	}
+}
+
+// isBeyondShare takes a flow from the share of an account, which is as many flows a
+// second as its weight, and reports whether the share was used up.
+func (l *flowLeadership) isBeyondShare(now modeler.Timestamp, name modeler.TeamName) bool {
+	for i := range l.core.state.Flows().Layout().Accounts {
+		team := &l.core.state.Flows().Layout().Accounts[i].Team
+		if team.Name == name {
+			at := modeler.ClockReading(time.Duration(now) * time.Millisecond)
+			return !l.shares.Take(at, string(name), max(team.Weight, 1))
+		}
+	}
+	return false
+}
+
+// authorize returns the account that a call to a queue belongs to, or "" if the queue
+// is public. It returns an error if the call needs a key and has none that is in force.
+func (l *flowLeadership) authorize(queue *modeler.Queue, key *modeler.KeyDigest) (modeler.TeamName, error) {
+	layout := l.core.state.Flows().Layout()
+	if !layout.Keyed || queue.Public {
+		return "", nil
+	}
+	if l.directory == nil || l.directoryOf != layout.Number {
+		directory, err := accountant.NewDirectory(layout.Accounts)
+		if err != nil {
+			return "", err
+		}
+		l.directory, l.directoryOf = directory, layout.Number
+	}
+	team, found := l.directory.Find(key)
+	if !found {
+		return "", classifier.New(classifier.Unauthorized, "the call has no key that is in force")
+	}
+	return team, nil
+}
+
 // logTime returns the current time for log entries, which never goes back.
 func (c *core) logTime() modeler.Timestamp {
 	return max(c.state.Now(), modeler.TimestampOf(time.Now()))
@@ -391,12 +456,16 @@
 	if !found {
 		return errorReply(classifier.New(classifier.UnknownService, "no queue is at %s%s", call.Host, call.Path)), nil
 	}
+	team, err := l.authorize(queue, call.Key)
+	if err != nil {
+		return errorReply(err), nil
+	}
 	if call.Kind == modeler.CountCall || call.Kind == modeler.StateCall && rest == "" {
 		return modeler.Reply{Count: state.Pending(queue.ID())}, nil
 	}
 	id := modeler.FlowID(rest)
 	held, known := state.Flow(id)
-	if known && held.Spec.Queue != queue.ID() {
+	if known && (held.Spec.Queue != queue.ID() || !held.IsVisibleTo(team) && !queue.Public) {
 		known = false
 	}
 	switch call.Kind {
@@ -414,11 +483,11 @@
 		}
 		return modeler.Reply{}, &modeler.Command{Kind: modeler.CancelFlow, CancelledFlow: id}
 	default:
-		return l.submit(queue, id, known, call.Flow)
+		return l.submit(queue, id, known, team, call.Flow)
 	}
 }
 
-func (l *flowLeadership) submit(queue *modeler.Queue, id modeler.FlowID, known bool, flow *modeler.Flow) (modeler.Reply, *modeler.Command) {
+func (l *flowLeadership) submit(queue *modeler.Queue, id modeler.FlowID, known bool, team modeler.TeamName, flow *modeler.Flow) (modeler.Reply, *modeler.Command) {
 	if known {
 		return modeler.Reply{}, nil
 	}
@@ -431,10 +500,18 @@
 	flow.ID = id
 	flow.Queue = queue.ID()
 	flow.Policy = queue.Policy
+	flow.Team = team
 	if err := sequencer.Check(flow); err != nil {
 		return errorReply(err), nil
 	}
-	if err := l.core.state.Flows().CheckRoom(sequencer.LoadOf(flow), l.proposed); err != nil {
+	if err := l.cell.CheckQuota(flow); err != nil {
+		return errorReply(err), nil
+	}
+	flow.BeyondShare = team != "" && l.isBeyondShare(l.core.logTime(), team)
+	if flow.BeyondShare && l.cell.IsLateBeyondShare(queue.ID()) {
+		return errorReply(classifier.New(classifier.RateLimited, "the account has used up its share, and flows beyond the shares wait too long")), nil
+	}
+	if err := l.core.state.Flows().CheckRoom(sequencer.LoadOf(flow), l.proposed, flow.BeyondShare); err != nil {
 		return errorReply(err), nil
 	}
 	return modeler.Reply{}, &modeler.Command{Kind: modeler.SubmitFlow, Flow: flow}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"goldcreststack.example/goldcreststack/accountant"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/sequencer"
 )
@@ -23,6 +24,8 @@
 	// MaxListedEnds is the most ends that a worker lists in one answer; a list of as
 	// many may not be complete. 0 means that each answer lists all.
 	MaxListedEnds int
+	// QuotaOverage is the part of an account's quota by which a gang may exceed it.
+	QuotaOverage float64
 	// Disabled switches decisions off.
 	Disabled map[Decision]bool
 	// Log writes one log line about a decision; it must not block.
@@ -76,7 +79,14 @@
 	abandoned    map[modeler.FlowTask][]*run
 	proposedEnds map[attemptID]*run
 	queues       map[modeler.QueueID]*queueStats
-	services     map[modeler.ServiceName]*serviceHealth
+	// ledger holds what each account has running. blockedAccounts has the accounts of
+	// which a step waits for the quota in the current pass of the placement.
+	ledger          *accountant.Ledger
+	blockedAccounts map[*accountant.Account]bool
+	// lateBeyondShare has the queues in which a flow beyond its share waits for room
+	// although its objective is missed.
+	lateBeyondShare map[modeler.QueueID]bool
+	services        map[modeler.ServiceName]*serviceHealth
 	// slowdownRange covers the queues of all flows seen so far.
 	slowdownRange slowdownRange
 	out           Output
@@ -145,9 +155,14 @@
 		changed:       true,
 		senders:       1,
 		heldBack:      make(map[modeler.FlowTask]*host),
-		restoring:     true,
-		placeRound:    1,
+
+		ledger:          accountant.NewLedger(settings.QuotaOverage),
+		blockedAccounts: make(map[*accountant.Account]bool),
+		lateBeyondShare: make(map[modeler.QueueID]bool),
+		restoring:       true,
+		placeRound:      1,
 	}
+	d.ledger.SetAccounts(state.Layout())
 	for _, m := range state.Workers() {
 		d.addHost(now, m)
 	}
@@ -180,6 +195,8 @@
 			d.updateWorker(now, c.Worker)
 		case sequencer.WorkerDeparted:
 			d.handleDeparted(now, c.Worker)
+		case sequencer.LayoutChanged:
+			d.updateAccounts()
 		}
 	}
 	if len(changes) > 0 {
@@ -210,6 +227,7 @@
 	d.copyTasksOfUnanswered(now)
 	d.updateReadiness(now)
 	d.updateTimeliness()
+	d.updateLateBeyondShare()
 	d.changed = true
 }
 
--- a/dispatcher/occurrence.go
+++ b/dispatcher/occurrence.go
@@ -77,6 +77,7 @@
 			waiting:    newTaskSet(f.Spec.Steps[s].Count),
 			planStart:  len(d.units),
 		}
+		d.setAccount(u)
 		if !d.restoring {
 			u.takeRuns()
 		}
--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -41,7 +41,7 @@
 // one. It skips requests with a slow decision unless slow is set.
 func (d *Dispatcher) NextPermitRequest(now modeler.ClockReading, slow bool) (modeler.PermitRequest, bool) {
 	for _, u := range d.sortedUnits {
-		if u.policy.Permits == nil || u.isAsking || now < u.nextAskAt || u.waiting.len() == 0 {
+		if u.policy.Permits == nil || u.isAsking || now < u.nextAskAt || u.waiting.len() == 0 || u.waitsForQuota {
 			continue
 		}
 		if !slow && u.policy.Permits.Decision > slowDecision {
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -40,6 +40,7 @@
 	reserving := 0
 	d.examined = 0
 	d.passIsPartial = false
+	clear(d.blockedAccounts)
 	for _, u := range d.sortedUnits {
 		if !u.ready || u.waiting.len() == 0 {
 			u.lacksWorkers = false
@@ -50,6 +51,11 @@
 			d.placeRound++
 			return
 		}
+		if d.updateQuotaWait(now, u) {
+			u.lacksWorkers = false
+			d.releaseReservations(u)
+			continue
+		}
 		if u.lacksWorkers && (now < u.retryAt || u.placeRound == d.placeRound) {
 			reserving += min(len(u.reservations), 1)
 			continue
@@ -97,6 +103,9 @@
 			d.changed = true
 			return
 		}
+		if d.updateQuotaWait(now, u) {
+			return
+		}
 		t := u.flow.Task(u.task(index))
 		h := last
 		if h == nil || !d.isStillBest(now, u, index, h) {
--- a/dispatcher/preempt.go
+++ b/dispatcher/preempt.go
@@ -97,7 +97,7 @@
 // isPreemptableKind reports whether an attempt is less urgent than the step and
 // can resume elsewhere from a checkpoint.
 func isPreemptableKind(u *unit, r *run) bool {
-	if r.unit == nil || r.unit.policy.Priority <= u.policy.Priority {
+	if r.unit == nil || compareUrgency(u, r.unit) >= 0 {
 		return false
 	}
 	step := r.unit.step
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"goldcreststack.example/goldcreststack/accountant"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/sequencer"
 )
@@ -38,10 +39,12 @@
 	attempt modeler.Attempt
 	host    *host
 	unit    *unit
-	// need is what the attempt reserves on its worker.
-	need   modeler.Resources
-	phase  phase
-	permit modeler.Permit
+	// need is what the attempt reserves on its worker, and account the one in whose
+	// quota it counts, or nil.
+	need    modeler.Resources
+	account *accountant.Account
+	phase   phase
+	permit  modeler.Permit
 	// sentAt is when the start was last sent, and startsSent how often.
 	sentAt     modeler.ClockReading
 	startsSent int
@@ -152,8 +155,12 @@
 	if step := d.step(start.Task); step != nil {
 		r.need = neededBy(step)
 	}
+	if f, found := d.state.Flow(start.Task.Flow); found {
+		r.account = d.ledger.Account(f.Spec.Team)
+	}
 	h.runs[r.task] = r
 	h.used = h.used.Add(r.need)
+	r.account.Add(r.need)
 	d.runs[r.task] = r
 	if r.unit != nil {
 		r.unit.countRun(h, 1)
@@ -196,6 +203,7 @@
 	if r.host.runs[r.task] == r {
 		delete(r.host.runs, r.task)
 		r.host.used = r.host.used.Sub(r.need)
+		r.account.Remove(r.need)
 		if r.unsized {
 			r.host.unsized--
 		}
--- a/dispatcher/stats.go
+++ b/dispatcher/stats.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"goldcreststack.example/goldcreststack/accountant"
 	"goldcreststack.example/goldcreststack/modeler"
 )
 
@@ -27,7 +28,9 @@
 	// Steps lists the first waiting steps in scheduling order, and Idle the workers
 	// that get no tasks.
 	Steps []WaitingStep `json:"steps,omitempty"`
-	Idle  []IdleWorker  `json:"idle,omitempty"`
+	// Accounts lists the client accounts, those with the most processors running first.
+	Accounts []AccountUse `json:"accounts,omitempty"`
+	Idle     []IdleWorker `json:"idle,omitempty"`
 }
 
 // WaitingStep is a step with tasks that wait for workers.
@@ -44,12 +47,79 @@
 	Permitted int  `json:"permitted"`
 	Denied    int  `json:"denied"`
 	Asking    bool `json:"asking"`
+	// Account is the client account of the flow, and Reason what the step waits for.
+	Account modeler.TeamName `json:"account,omitempty"`
+	Reason  WaitReason       `json:"reason"`
 	// Reserved lists the workers on which room is kept for the step, and Need is
 	// what one of its tasks needs.
 	Reserved []modeler.WorkerID `json:"reserved,omitempty"`
 	Need     modeler.Resources  `json:"need"`
 }
 
+// WaitReason says what a step waits for.
+type WaitReason string
+
+// The reasons for which steps wait.
+const (
+	WaitsForQuota  WaitReason = "quota"
+	WaitsForShare  WaitReason = "share"
+	WaitsForPermit WaitReason = "permit"
+	WaitsForRoom   WaitReason = "room"
+)
+
+// AccountUse is what a client account has running and waiting.
+type AccountUse struct {
+	Account modeler.TeamName  `json:"account"`
+	Used    modeler.Resources `json:"used"`
+	Quota   modeler.Resources `json:"quota"`
+	Weight  int               `json:"weight"`
+	Running int               `json:"running"`
+	Waiting int               `json:"waiting"`
+	// BeyondShare counts the waiting tasks that are beyond the account's share, and
+	// QuotaWaits those that wait for its quota.
+	BeyondShare int `json:"beyond"`
+	QuotaWaits  int `json:"capped"`
+}
+
+// accountUses returns what the accounts with the most processors running use.
+func (d *Dispatcher) accountUses() []AccountUse {
+	accounts := d.ledger.Accounts()
+	uses := make([]AccountUse, 0, min(len(accounts), maxStatsEntries))
+	at := make(map[*accountant.Account]int)
+	for _, a := range accounts[:min(len(accounts), maxStatsEntries)] {
+		at[a] = len(uses)
+		uses = append(uses, AccountUse{Account: a.Team.Name, Used: a.Used(), Quota: a.Team.Quota, Weight: a.Team.Weight, Running: a.Running()})
+	}
+	for _, u := range d.sortedUnits {
+		i, listed := at[u.account]
+		if !listed || !u.ready || u.waiting.len() == 0 {
+			continue
+		}
+		uses[i].Waiting += u.waiting.len()
+		if u.beyondShare {
+			uses[i].BeyondShare += u.waiting.len()
+		}
+		if u.waitsForQuota {
+			uses[i].QuotaWaits += u.waiting.len()
+		}
+	}
+	return uses
+}
+
+// waitReason returns what a waiting step waits for.
+func (d *Dispatcher) waitReason(now modeler.ClockReading, u *unit) WaitReason {
+	switch {
+	case u.waitsForQuota:
+		return WaitsForQuota
+	case u.policy.Permits != nil && !slices.ContainsFunc(d.hostList, func(h *host) bool { return u.allows(now, h) }):
+		return WaitsForPermit
+	case u.beyondShare:
+		return WaitsForShare
+	default:
+		return WaitsForRoom
+	}
+}
+
 // IdleWorker is a worker that gets no tasks, with the reason.
 type IdleWorker struct {
 	Worker   modeler.WorkerID `json:"worker"`
@@ -85,6 +155,7 @@
 	}
 	slices.SortFunc(s.Idle, func(a, b IdleWorker) int { return cmp.Compare(a.Worker, b.Worker) })
 	s.Idle = s.Idle[:min(len(s.Idle), maxStatsEntries)]
+	s.Accounts = d.accountUses()
 	for _, u := range d.sortedUnits {
 		if !u.ready || u.waiting.len() == 0 {
 			continue
@@ -99,6 +170,7 @@
 				Request: u.key.Flow, Occurrence: u.key.Occurrence, Step: u.key.Step, Queue: u.flow.Spec.Queue,
 				Tasks: u.waiting.len(), WaitingFor: now.Sub(u.readyAt).String(),
 				Permitted: len(u.permits), Denied: len(u.denied), Asking: u.isAsking,
+				Account: u.flow.Spec.Team, Reason: d.waitReason(now, u),
 				Reserved: reserved, Need: neededBy(u.step),
 			})
 		}
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"goldcreststack.example/goldcreststack/accountant"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/sequencer"
 )
@@ -74,6 +75,14 @@
 	doneRuntime float64
 	// learned is the count of the queue's run times that the deadlines rest on.
 	learned int
+	// account is the one that the flow belongs to, or nil. waitsForQuota means that the
+	// step waits until more of its quota is free, and quotaWaitLogged that it was logged
+	// that the step has waited so.
+	account         *accountant.Account
+	waitsForQuota   bool
+	quotaWaitLogged bool
+	// beyondShare means that the step goes behind those of accounts within their share.
+	beyondShare bool
 }
 
 // permit is the outside policy's permission to run tasks of a step on one
@@ -135,11 +144,10 @@
 	return rest
 }
 
-// compareUnits orders units by priority, then by timeliness, then by latest
-// start.
+// compareUnits orders units by urgency, then by timeliness, then by latest start.
 func compareUnits(a, b *unit) int {
 	return cmp.Or(
-		cmp.Compare(a.policy.Priority, b.policy.Priority),
+		compareUrgency(a, b),
 		cmp.Compare(a.timeliness, b.timeliness),
 		cmp.Compare(a.latestStart, b.latestStart),
 		cmp.Compare(a.key.Flow, b.key.Flow),
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -266,8 +266,8 @@
 		Flows: &controller.FlowSettings{
 			Bounds: dispatcher.Settings{
 				MaxLease: node.MaxLease, MaxStopTime: node.MaxStopTime, GangTimeout: node.GangTimeout, MaxTimeOverTarget: node.MaxTimeOverTarget,
-				MaxListedEnds: platform.MaxListedEnds,
-				Log:           func(event string, pairs ...any) { p.report.Info(event, pairs...) },
+				MaxListedEnds: platform.MaxListedEnds, QuotaOverage: node.QuotaOverage,
+				Log: func(event string, pairs ...any) { p.report.Info(event, pairs...) },
 			},
 			Send: p.client.Send,
 		},
--- a/sequencer/sequencer.go
+++ b/sequencer/sequencer.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"goldcreststack.example/goldcreststack/accountant"
 	"goldcreststack.example/goldcreststack/classifier"
 	"goldcreststack.example/goldcreststack/modeler"
 )
@@ -92,6 +93,12 @@
 	}
 }
 
+// IsVisibleTo reports whether the callers of an account may see the flow: it belongs to
+// that account or to none.
+func (f *Flow) IsVisibleTo(team modeler.TeamName) bool {
+	return f.Spec.Team == "" || f.Spec.Team == team
+}
+
 // Occurrences returns how many times the flow's steps run.
 func (f *Flow) Occurrences() int { return max(f.Spec.Occurrences, 1) }
 
@@ -140,6 +147,7 @@
 	AttemptEnded
 	WorkerUpdated
 	WorkerDeparted
+	LayoutChanged
 )
 
 // Change describes to the leader's dispatcher what an applied command has
@@ -169,6 +177,9 @@
 	// whose details are held.
 	openFlows int
 	heldTasks int
+	// beyondShare counts the open flows that are beyond the share of their account, and
+	// their tasks.
+	beyondShare Load
 	// departures holds the last generation of each worker that has left
 	// permanently, until endedFlowRetention has passed.
 	departures map[modeler.WorkerID]DepartedWorker
@@ -280,7 +291,8 @@
 		}
 		seen[q.ID()] = true
 	}
-	return nil
+	_, err := accountant.NewDirectory(l.Accounts)
+	return err
 }
 
 // SetLayout puts a layout in force if its number is higher than that of the
@@ -289,10 +301,33 @@
 	if l.Number <= s.layout.Number {
 		return modeler.Result{Repeat: true}
 	}
+	former := s.formerAccounts(l)
 	s.layout = *l
+	s.layout.Former = former
+	s.recordChange(Change{Kind: LayoutChanged})
 	return modeler.Result{}
 }
 
+// formerAccounts returns the accounts that the next layout doesn't name while flows of
+// theirs are not over.
+func (s *Sequencer) formerAccounts(next *modeler.Layout) []modeler.Account {
+	open := make(map[modeler.TeamName]bool)
+	for _, f := range s.flows {
+		if f.Spec.Team != "" && !f.IsOver() {
+			open[f.Spec.Team] = true
+		}
+	}
+	var former []modeler.Account
+	for _, a := range slices.Concat(s.layout.Former, s.layout.Accounts) {
+		named := slices.ContainsFunc(next.Accounts, func(other modeler.Account) bool { return other.Team.Name == a.Team.Name })
+		if open[a.Team.Name] && !named {
+			a.Keys = nil
+			former = append(former, a)
+		}
+	}
+	return former
+}
+
 // Submit accepts a flow. Submitting the same id again changes nothing and
 // returns a repeat, or KeyReused if the queue differs.
 func (s *Sequencer) Submit(now modeler.Timestamp, spec *modeler.Flow) modeler.Result {
@@ -300,6 +335,9 @@
 		if held.Spec.Queue != spec.Queue {
 			return modeler.Result{Kind: classifier.KeyReused, Detail: "the id belongs to a flow of another queue"}
 		}
+		if !held.IsVisibleTo(spec.Team) {
+			return modeler.Result{Kind: classifier.KeyReused, Detail: "the id belongs to a flow of another account"}
+		}
 		return modeler.Result{Repeat: true}
 	}
 	f := &Flow{Spec: *spec, State: modeler.FlowPending, ArrivedAt: now}
@@ -309,6 +347,9 @@
 	f.resetProgress()
 	s.openFlows++
 	s.heldTasks += len(f.Tasks)
+	if spec.BeyondShare {
+		s.beyondShare = s.beyondShare.Add(Load{Flows: 1, Tasks: len(f.Tasks)})
+	}
 	s.flows[spec.ID] = f
 	s.pending[spec.Queue]++
 	s.recordChange(Change{Kind: FlowAdded, Flow: spec.ID})
@@ -378,10 +419,15 @@
 
 // CheckRoom returns an error of kind QueueFull if a flow with the given load does not fit beside those
 // that are not over and those that were proposed. A flow may take half of the room for
-// tasks that is left, so that wide flows always leave room for narrower ones.
-func (s *Sequencer) CheckRoom(load, proposed Load) error {
+// tasks that is left, so that wide flows always leave room for narrower ones. Flows beyond
+// the share of their account get half of all room together, so that they leave the rest
+// to the accounts within theirs.
+func (s *Sequencer) CheckRoom(load, proposed Load, beyondShare bool) error {
 	held := Load{Flows: s.openFlows, Tasks: s.heldTasks}.Add(proposed)
+	beyond := s.beyondShare.Add(load)
 	switch left := maxHeldTasks - held.Tasks; {
+	case beyondShare && (beyond.Flows > maxHeldFlows/2 || beyond.Tasks > maxHeldTasks/2):
+		return classifier.New(classifier.QueueFull, "%d flows with %d tasks beyond the shares of their accounts are held", s.beyondShare.Flows, s.beyondShare.Tasks)
 	case load.Tasks > max(left/2, 0):
 		return classifier.New(classifier.QueueFull, "the flow has %d tasks, %d are accepted while %d of %d are held", load.Tasks, max(left/2, 0), held.Tasks, maxHeldTasks)
 	case held.Flows >= maxHeldFlows:
@@ -428,6 +474,9 @@
 func (s *Sequencer) finishFlow(now modeler.Timestamp, f *Flow, state modeler.FlowState) {
 	s.setState(f, state)
 	s.openFlows--
+	if f.Spec.BeyondShare {
+		s.beyondShare = s.beyondShare.Sub(Load{Flows: 1, Tasks: len(f.Tasks)})
+	}
 	f.EndedAt = now
 	s.endedFlow = append(s.endedFlow, endedFlow{id: f.Spec.ID, at: now})
 	s.recordChange(Change{Kind: FlowEnded, Flow: f.Spec.ID})
--- a/sequencer/snapshot.go
+++ b/sequencer/snapshot.go
@@ -66,6 +66,9 @@
 		}
 		if !f.IsOver() {
 			s.openFlows++
+			if f.Spec.BeyondShare {
+				s.beyondShare = s.beyondShare.Add(Load{Flows: 1, Tasks: len(f.Tasks)})
+			}
 		} else {
 			s.endedFlow = append(s.endedFlow, endedFlow{id: f.Spec.ID, at: f.EndedAt})
 		}
