--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -106,7 +106,7 @@
 	if d.restoring && len(d.flowUnits) > maxRestoredLogged {
 		return
 	}
-	d.settings.Log("flow added to the scheduler", "request", id, "queue", f.Spec.Queue, "steps", len(f.Spec.Steps), "tasks", len(f.Tasks), "priority", f.Spec.Policy.Priority,
+	d.settings.Log("flow added to the scheduler", "request", id, "queue", f.Spec.Queue, "account", f.Spec.Team, "beyond", f.Spec.BeyondShare, "steps", len(f.Spec.Steps), "tasks", len(f.Tasks), "priority", f.Spec.Policy.Priority,
 		"age", time.Duration(d.stamp-f.ArrivedAt)*time.Millisecond, "ticket", d.state.Layout().Number, "term", d.term)
 }
 
