Priorities go before shares; the kind unauthorized is not reached over the product's own interface

Change: PriorityFirst, on by default, since priorities are the operators'; the test names where the kind is tested.

--- a/dispatcher/account.go
+++ b/dispatcher/account.go
@@ -7,19 +7,20 @@
 	"goldcreststack.example/goldcreststack/modeler"
 )
 
-// compareUrgency orders steps by their account's share and their priority. The share goes
-// first: an account that sends many times its share would otherwise delay the less urgent
-// flows of accounts that keep to theirs.
+// compareUrgency orders steps by their priority and their account's share. Priorities go
+// first, since they are the operators'. Shares before priorities would protect less urgent
+// flows from an account that sends many times its share, which showed no gain
+// (docs/decisions/deciding.md).
 func compareUrgency(a, b *unit) int {
 	byPriority := cmp.Compare(a.policy.Priority, b.policy.Priority)
 	byShare := 0
 	if a.beyondShare != b.beyondShare {
 		byShare = trueFirst(b.beyondShare)
 	}
-	if a.dispatcher.uses(ShareFirst) {
-		return cmp.Or(byShare, byPriority)
+	if a.dispatcher.uses(PriorityFirst) {
+		return cmp.Or(byPriority, byShare)
 	}
-	return cmp.Or(byPriority, byShare)
+	return cmp.Or(byShare, byPriority)
 }
 
 // updateAccounts applies the accounts of a new layout.
--- a/dispatcher/decision.go
+++ b/dispatcher/decision.go
@@ -26,13 +26,13 @@
 	Runtimes Decision = "learned run times"
 	// PermitsAhead asks for the permits of a step before it is ready.
 	PermitsAhead Decision = "permits ahead"
-	// ShareFirst puts steps beyond the share of their account behind all others, also
-	// less urgent ones.
-	ShareFirst Decision = "share before priority"
+	// PriorityFirst puts steps beyond the share of their account behind others of the same
+	// priority only, and not behind less urgent ones.
+	PriorityFirst Decision = "priority before share"
 )
 
 // Decisions lists all decisions that can be switched off.
-var Decisions = []Decision{HoldPermits, Reserve, Preempt, Copy, Quarantine, Timeliness, Speed, PermitsAhead, VictimSlack, Runtimes, ShareFirst}
+var Decisions = []Decision{HoldPermits, Reserve, Preempt, Copy, Quarantine, Timeliness, Speed, PermitsAhead, VictimSlack, Runtimes, PriorityFirst}
 
 // uses reports whether a decision is not switched off.
 func (d *Dispatcher) uses(x Decision) bool { return !d.settings.Disabled[x] }
--- a/forwarder/kinds_test.go
+++ b/forwarder/kinds_test.go
@@ -27,6 +27,7 @@
 	classifier.JobImpossible:   "is decided after the submission was accepted; see placer",
 	classifier.QuotaExceeded:   "is decided after the submission was accepted; see placer",
 	classifier.Draining:        "the listener closes before the router drains; see router",
+	classifier.Unauthorized:    "concerns calls to the queues of flows, which this interface does not serve; see controller",
 	classifier.Internal:        "stands for a fault of the system",
 }
 
