A voter that stops waits for a learner that is only silent

Change: reconfigurer.MustAwaitSuccessor decides it; a learner that is silent counts unless the group bears the tolerated losses without both. Stops without a learner and in groups that bear the loss take as long as before. The silence limit moves to reconfigurer.

--- a/controller/joining.go
+++ b/controller/joining.go
@@ -9,7 +9,6 @@
 	"goldcreststack.example/goldcreststack/classifier"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/reconfigurer"
-	"goldcreststack.example/goldcreststack/replicator"
 )
 
 // maxRefusalLimits bounds the members for which lines about refused changes are
@@ -34,7 +33,8 @@
 }
 
 // releaseMember notes that a member is about to stop, proposes the change by which a
-// learner takes its place, and replies with the kind Unconfirmed until that is done.
+// learner takes its place, and replies with the kind Unconfirmed until that is done. The
+// member asks again for a limited time.
 func (c *core) releaseMember(now modeler.ClockReading, id modeler.MemberID) modeler.Reply {
 	if id == c.controller.settings.Member || c.log.Transferring() {
 		return errorReply(classifier.New(classifier.NoLeader, "this member is about to stop"))
@@ -45,10 +45,7 @@
 	c.leader.leaving[id] = now
 	c.updateVoters(now)
 	status := c.log.Status()
-	isVoter := slices.ContainsFunc(status.Members.Members, func(m modeler.Member) bool { return m.ID == id && !m.Learner })
-	// A learner that doesn't answer a new leader yet may be about to.
-	hasSuccessor := slices.ContainsFunc(status.Progress, func(p replicator.Progress) bool { return p.Member.Learner && silence(now, &p) == 0 })
-	if c.pendingMembers() || isVoter && hasSuccessor {
+	if c.pendingMembers() || c.controller.settings.Voters.MustAwaitSuccessor(now, status, id) {
 		return errorReply(classifier.New(classifier.Unconfirmed, "the member is being replaced"))
 	}
 	return modeler.Reply{}
--- a/controller/joining_test.go
+++ b/controller/joining_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"path/filepath"
@@ -11,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"goldcreststack.example/goldcreststack/classifier"
 	"goldcreststack.example/goldcreststack/controller"
 	"goldcreststack.example/goldcreststack/dispatcher"
 	"goldcreststack.example/goldcreststack/modeler"
@@ -79,33 +81,76 @@
 // fails to be admitted or to become a voter in time, or its old id stays among
 // the voters.
 func TestLostDiskIsMadeGood(t *testing.T) {
+	first, stops, r := startVoters(t, 3)
+	ctx := t.Context()
+
+	stops[2]()
+	fresh := modeler.Member{ID: 33, Address: first[2].Address}
+	startPeer(t, fresh.ID, listen(t, fresh.Address), first, true, nil)
+	assert.Assert(t, admitted(ctx, r, fresh, catchUp), "the new member is not admitted")
+	time.Sleep(catchUp)
+	stops[1]()
+	// A leader without a quorum answers until its lease is over.
+	time.Sleep(time.Second)
+	assert.Assert(t, admitted(ctx, r, fresh, recovery), "the two members that are left have no leader")
+}
+
+// startVoters starts the voters of a new group and returns their members, the functions
+// that stop them, and a relayer with links to them.
+func startVoters(t *testing.T, count int) ([]modeler.Member, []func(), *relayer.Relayer) {
 	var listeners []net.Listener
 	var first []modeler.Member
 	var addresses []string
-	for id := range modeler.MemberID(3) {
+	for id := range count {
 		l := listen(t, "127.0.0.1:0")
 		listeners = append(listeners, l)
 		addresses = append(addresses, l.Addr().String())
-		first = append(first, modeler.Member{ID: id + 1, Address: l.Addr().String()})
+		first = append(first, modeler.Member{ID: modeler.MemberID(id + 1), Address: l.Addr().String()})
 	}
 	var stops []func()
 	for i, l := range listeners {
 		stops = append(stops, startPeer(t, first[i].ID, l, first, false, nil))
 	}
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
 	r := relayer.New(relayer.Settings{Name: "test", Report: reporter.New(reporter.Options{Role: "entry", Name: "test", Out: io.Discard})})
-	go func() { _ = r.Run(ctx) }()
-	r.KeepLinks(ctx, addresses)
-	assert.Assert(t, admitted(ctx, r, first[0], recovery), "no leader")
+	go func() { _ = r.Run(t.Context()) }()
+	r.KeepLinks(t.Context(), addresses)
+	assert.Assert(t, admitted(t.Context(), r, first[0], recovery), "no leader")
+	return first, stops, r
+}
 
-	stops[2]()
-	fresh := modeler.Member{ID: 33, Address: addresses[2]}
-	startPeer(t, fresh.ID, listen(t, fresh.Address), first, true, nil)
-	assert.Assert(t, admitted(ctx, r, fresh, catchUp), "the new member is not admitted")
-	time.Sleep(catchUp)
-	stops[1]()
-	// A leader without a quorum answers until its lease is over.
-	time.Sleep(time.Second)
-	assert.Assert(t, admitted(ctx, r, fresh, recovery), "the two members that are left have no leader")
+// leave announces that a voter which doesn't lead stops, and returns the answer.
+func leave(t *testing.T, r *relayer.Relayer, voters []modeler.Member) error {
+	var err error
+	for i := range voters {
+		_, err = r.Call(t.Context(), &modeler.Call{Kind: modeler.LeaveCall, Member: &voters[i], Wait: 500 * time.Millisecond})
+		if classifier.KindOf(err) != classifier.NoLeader {
+			return err
+		}
+	}
+	return err
+}
+
+// Guards against a voter of three that stops while the only learner is cut off for a
+// moment, and is told that nobody takes its place: the next loss leaves no quorum. A
+// group without a learner, or one that bears the loss, must not delay a stop.
+func TestLeavingVoterAwaitsSilentLearner(t *testing.T) {
+	for _, c := range []struct {
+		voters, learners int
+		want             classifier.Kind
+	}{{3, 1, classifier.Unconfirmed}, {3, 0, classifier.None}, {5, 1, classifier.None}} {
+		t.Run(fmt.Sprintf("%d voters and %d learners", c.voters, c.learners), func(t *testing.T) {
+			t.Parallel()
+			voters, _, r := startVoters(t, c.voters)
+			for range c.learners {
+				l := listen(t, "127.0.0.1:0")
+				learner := modeler.Member{ID: 33, Address: l.Addr().String()}
+				stop := startPeer(t, learner.ID, l, voters, true, nil)
+				assert.Assert(t, admitted(t.Context(), r, learner, catchUp), "the learner is not admitted")
+				stop()
+			}
+			// The learner counts as silent after a second without an answer.
+			time.Sleep(1500 * time.Millisecond)
+			assert.Equal(t, classifier.KindOf(leave(t, r, voters)), c.want)
+		})
+	}
 }
--- a/controller/quorum.go
+++ b/controller/quorum.go
@@ -10,10 +10,6 @@
 	"goldcreststack.example/goldcreststack/replicator"
 )
 
-// silentAfter is how long a member leaves the leader without an answer before it
-// counts as silent: ten heartbeats.
-const silentAfter = time.Second
-
 // reportLostElection logs an election that this member has not won, with the
 // voters that have granted it, refused it and not answered.
 func (c *core) reportLostElection(now modeler.ClockReading, lost *replicator.LostElection) {
@@ -39,9 +35,9 @@
 }
 
 // silence returns how long a member has not answered the leader, or 0 if that is
-// less than silentAfter.
+// less than reconfigurer.SilentAfter.
 func silence(now modeler.ClockReading, p *replicator.Progress) time.Duration {
-	if silence := now.Sub(p.SilentSince); silence >= silentAfter {
+	if silence := now.Sub(p.SilentSince); silence >= reconfigurer.SilentAfter {
 		return silence
 	}
 	return 0
--- a/reconfigurer/reconfigurer.go
+++ b/reconfigurer/reconfigurer.go
@@ -16,7 +16,10 @@
 	maxLearnerSilence = 10 * time.Second
 	// answerTimeout is the age of the last answer up to which a member counts as
 	// answering: a few heartbeats.
-	answerTimeout       = 500 * time.Millisecond
+	answerTimeout = 500 * time.Millisecond
+	// SilentAfter is how long a member leaves the leader without an answer before it
+	// counts as silent: ten heartbeats.
+	SilentAfter         = time.Second
 	defaultTolerance    = 1
 	defaultReplaceAfter = 2 * time.Second
 )
@@ -250,6 +253,26 @@
 	return voters
 }
 
+// MustAwaitSuccessor reports whether a member that is about to stop has to go on until a
+// learner has taken its place. A learner that is silent may only be cut off for a moment,
+// so it is waited for too, unless the group bears the tolerated losses without both.
+func (p Policy) MustAwaitSuccessor(now modeler.ClockReading, status replicator.Status, leaving modeler.MemberID) bool {
+	votes := slices.ContainsFunc(status.Members.Members, func(m modeler.Member) bool { return m.ID == leaving && !m.Learner })
+	hasLearner, answers, absent := false, false, 1
+	for _, m := range status.Progress {
+		isSilent := now.Sub(m.SilentSince) >= SilentAfter
+		switch {
+		case m.Member.Learner:
+			hasLearner, answers = true, answers || !isSilent
+		case isSilent && m.Member.ID != leaving:
+			absent++
+		}
+	}
+	voters := countVoters(status.Members)
+	bearsLosses := voters-absent-Quorum(voters) >= p.Tolerance
+	return votes && hasLearner && (answers || !bearsLosses)
+}
+
 // supersededVoter returns a voter whose host has lost its disk and come back as
 // another member at the same address, or 0.
 func supersededVoter(members modeler.Membership) modeler.MemberID {
--- a/reconfigurer/reconfigurer_test.go
+++ b/reconfigurer/reconfigurer_test.go
@@ -202,6 +202,33 @@
 	assert.Assert(t, !g.next())
 }
 
+// Guards against a voter that stops although the only learner may be back at once, and
+// the group bears no further loss without it; and against stops that take longer where
+// that gains nothing.
+func TestLeavingVoterAwaitsLearner(t *testing.T) {
+	for _, c := range []struct {
+		name                                                      string
+		tolerance, voters, silentVoters, learners, silentLearners int
+		want                                                      bool
+	}{
+		{"a learner that answers", 1, 3, 0, 1, 0, true},
+		{"also in a group that bears the loss", 1, 5, 0, 1, 0, true},
+		{"the only learner is silent", 1, 3, 0, 1, 1, true},
+		{"no learner", 1, 3, 0, 0, 0, false},
+		{"a silent learner beside a group that bears the loss", 1, 5, 0, 1, 1, false},
+		{"a silent learner beside a group that has borne a loss", 1, 5, 1, 1, 1, true},
+		{"more losses are tolerated than are left", 2, 5, 0, 1, 1, true},
+		{"a large group", 2, 9, 0, 1, 1, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGroup(c.tolerance, c.voters, c.silentVoters, c.learners, c.silentLearners)
+			g.next()
+			assert.Equal(t, g.policy.MustAwaitSuccessor(now, g.status, 2), c.want)
+			assert.Assert(t, !g.policy.MustAwaitSuccessor(now, g.status, 99), "a member that doesn't vote waits")
+		})
+	}
+}
+
 // Guards against a change that can't be committed, since it needs a voter that has
 // been lost a moment ago; no further change would be possible.
 func TestNoChangeWithoutQuorum(t *testing.T) {
--- a/replicator/restart_test.go
+++ b/replicator/restart_test.go
@@ -42,12 +42,8 @@
 		s.propose(leader, change)
 		status = leader.r.Status()
 	}
-	isVoter := slices.ContainsFunc(status.Members.Members, func(m modeler.Member) bool { return m.ID == h.id && !m.Learner })
-	hasSuccessor := slices.ContainsFunc(status.Progress, func(p replicator.Progress) bool {
-		return p.Member.Learner && s.reading(leader).Sub(p.SilentSince) < time.Second
-	})
 	isCommitted := slices.Equal(leader.r.MembershipAt(status.Commit).Members, status.Members.Members)
-	return isCommitted && !(isVoter && hasSuccessor)
+	return isCommitted && !s.policy.MustAwaitSuccessor(s.reading(leader), status, h.id)
 }
 
 // stop ends a host in the order of a process that gets SIGTERM.
