soaker: client accounts, keys, quotas and revocations

Cause: nothing played keys and quotas under faults. Two operators race with layouts that add, remove and return accounts, keys and quotas; callers use the newest keys, and one caller uses revoked, unknown, malformed and foreign ones. Checks: no success later than 5 s after a revocation, none with an unknown or foreign key, no 401 2.5 s after a key was acknowledged, no start beyond the quota with its overage and one task, and jobs of removed accounts end and are known when the account is back. Layouts repeated under an acknowledged version have keys that are removed.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -59,12 +59,13 @@
 
 // send makes one HTTP call and returns the status and the body of the answer.
 // The status is 0 when no complete answer arrives.
-func send(client *http.Client, method, address, path, body string) (int, []byte) {
+func send(client *http.Client, method, address, path, body string, authorization ...string) (int, []byte) {
 	request, err := http.NewRequestWithContext(context.Background(), method, "http://"+address+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return 0, nil
 	}
 	request.Host = queueHost
+	request.Header["Authorization"] = authorization
 	answer, err := client.Do(request)
 	if err != nil {
 		return 0, nil
@@ -77,6 +78,15 @@
 	return answer.StatusCode, data
 }
 
+// call makes a call for a job with the given credentials, and checks the status of the
+// answer against them.
+func (w *world) call(client *http.Client, given credentials, method string, p *process, id, body string) (int, []byte) {
+	sent := time.Now()
+	status, data := send(client, method, w.offsetAddress(p.host, 1), queuePath+id, body, given.headers...)
+	w.check.checkCredentials(given, method, p.name, sent, status)
+	return status, data
+}
+
 func (w *world) randomEntry() *process { return w.entries[rand.IntN(len(w.entries))] }
 
 // runCaller submits and watches jobs one after the other until ctx ends. It keeps
@@ -92,12 +102,17 @@
 	}
 }
 
-// newJob registers a job that is to be submitted and returns its id.
+// newJob registers a job of any account that is to be submitted and returns its id.
 func (w *world) newJob(steps ...jobStep) string {
+	return w.newJobOf(w.check.drawAccount(), steps...)
+}
+
+// newJobOf is newJob for an account, "" in runs without accounts.
+func (w *world) newJobOf(account string, steps ...jobStep) string {
 	id := fmt.Sprintf("%016x", rand.Uint64())
 	w.check.mu.Lock()
 	defer w.check.mu.Unlock()
-	w.check.jobs[id] = &job{spec: specOf(id), steps: steps}
+	w.check.jobs[id] = &job{spec: specOf(id), steps: steps, account: account}
 	return id
 }
 
@@ -128,16 +143,21 @@
 
 // submitJob submits a job, repeats the call after a refusal or no answer, and
 // reports whether the job was accepted. A job is marked as refused only if every
-// attempt got status 429 or 503.
+// attempt got status 401, 429 or 503.
 func (w *world) submitJob(client *http.Client, id string) bool {
 	mayBeAccepted := false
 	for range submitAttempts {
-		status, _ := send(client, http.MethodPost, w.offsetAddress(w.randomEntry().host, 1), queuePath+id, w.jobBody(id))
+		given, found := w.check.credentialsFor(id)
+		if !found {
+			// The account was removed.
+			break
+		}
+		status, _ := w.call(client, given, http.MethodPost, w.randomEntry(), id, w.jobBody(id))
 		switch {
 		case status >= 200 && status < 300:
 			w.check.noteAccepted(id)
 			return true
-		case status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests:
+		case status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests && status != http.StatusUnauthorized:
 			mayBeAccepted = true
 		}
 		w.sleep(300 * time.Millisecond)
@@ -169,10 +189,14 @@
 }
 
 func (w *world) cancelJob(client *http.Client, id string) {
+	given, found := w.check.credentialsFor(id)
+	if !found {
+		return
+	}
 	w.check.mu.Lock()
 	w.check.jobs[id].cancelSent = true
 	w.check.mu.Unlock()
-	status, _ := send(client, http.MethodDelete, w.offsetAddress(w.randomEntry().host, 1), queuePath+id, "")
+	status, _ := w.call(client, given, http.MethodDelete, w.randomEntry(), id, "")
 	if status >= 200 && status < 300 {
 		w.check.mu.Lock()
 		w.check.jobs[id].cancelledAt = time.Now()
@@ -195,7 +219,11 @@
 // askState asks one process for a job's state: "gone" if it isn't known, and empty
 // without an answer that can be read.
 func (w *world) askState(client *http.Client, id string, p *process) string {
-	status, data := send(client, http.MethodGet, w.offsetAddress(p.host, 1), queuePath+id, "")
+	given, found := w.check.credentialsFor(id)
+	if !found {
+		return ""
+	}
+	status, data := w.call(client, given, http.MethodGet, p, id, "")
 	var answer struct {
 		State string `json:"state"`
 	}
@@ -212,10 +240,8 @@
 // three times after each.
 func (w *world) runOperator(ctx context.Context) {
 	client := w.newClient(time.Second)
-	version := uint64(0)
 	for ctx.Err() == nil {
-		version++
-		w.applyConfiguration(ctx, client, version)
+		w.applyConfiguration(ctx, client, w.check.nextVersion())
 		if rand.IntN(4) == 0 {
 			w.repeatConfigurations(ctx, client)
 		}
@@ -243,7 +269,7 @@
 // sendConfiguration sends a configuration whose queue has the marker, until a process
 // acknowledges it.
 func (w *world) sendConfiguration(ctx context.Context, client *http.Client, version, marker uint64) bool {
-	body := imitator.Layout(version, queueHost, queuePath, markerPath(marker))
+	body := w.configuration(version, marker)
 	for ctx.Err() == nil {
 		status, _ := send(client, http.MethodPut, w.randomControl(), imitator.LayoutPath, body)
 		switch {
@@ -258,6 +284,25 @@
 	return false
 }
 
+// configuration returns the body of a configuration. One with a marker that no version
+// has gives the accounts of the first version, whose keys are removed in time.
+func (w *world) configuration(version, marker uint64) string {
+	w.check.mu.Lock()
+	defer w.check.mu.Unlock()
+	if w.check.accounts == nil {
+		return imitator.Layout(version, queueHost, queuePath, markerPath(marker))
+	}
+	of := version
+	if marker != version {
+		of = 1
+	}
+	body, err := imitator.LayoutWithTenants(version, w.check.accounts.tenants[of-1], queueHost, queuePath, markerPath(marker))
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
+
 // repeatConfigurations sends a former version again, and other content under the
 // acknowledged one. Both are to be acknowledged and to change nothing.
 func (w *world) repeatConfigurations(ctx context.Context, client *http.Client) {
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -20,7 +20,9 @@
 
 // job holds what callers have sent and been told about one job.
 type job struct {
-	spec        string
+	spec string
+	// account is "" in runs without accounts.
+	account     string
 	steps       []jobStep
 	acceptedAt  time.Time
 	cancelledAt time.Time
@@ -52,6 +54,10 @@
 	// violations lists the broken promises.
 	violations []string
 	versions   []acknowledgement
+	// lastVersion is the newest version that an operator has sent.
+	lastVersion uint64
+	// accounts is nil in runs without accounts.
+	accounts *accounts
 	// acknowledged receives a value for each acknowledgement to a caller or to the
 	// operator, unless it holds one.
 	acknowledged chan struct{}
@@ -138,10 +144,22 @@
 func (c *check) newestVersion() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.versions) == 0 {
-		return 0
+	newest := uint64(0)
+	for _, a := range c.versions {
+		newest = max(newest, a.version)
 	}
-	return c.versions[len(c.versions)-1].version
+	return newest
+}
+
+// nextVersion returns the version of the next configuration.
+func (c *check) nextVersion() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastVersion++
+	if c.accounts != nil {
+		c.lastVersion = c.accounts.next()
+	}
+	return c.lastVersion
 }
 
 // checkStart checks the start of a task on a worker and returns how long the task
@@ -175,11 +193,16 @@
 			}
 		}
 	}
+	step := j.steps[stepOf(order.Task)]
+	if c.runningOn[order.Task] == "" {
+		c.addUse(j, step.cores)
+	}
 	c.runningOn[order.Task] = s.id
+	c.checkQuota(order.Task, j, step.cores, s.ageOf(order))
 	if s.failing {
-		return failureTime, j.steps[stepOf(order.Task)]
+		return failureTime, step
 	}
-	return time.Duration(200+len(order.Task)*7%400) * time.Millisecond, j.steps[stepOf(order.Task)]
+	return time.Duration(200+len(order.Task)*7%400) * time.Millisecond, step
 }
 
 // taskEnded records the end of a task on a worker. The state is the one that the
@@ -189,6 +212,8 @@
 	defer c.mu.Unlock()
 	if c.runningOn[name] == worker {
 		delete(c.runningOn, name)
+		j := c.jobs[jobIDOf(name)]
+		c.addUse(j, -j.steps[stepOf(name)].cores)
 	}
 	switch state {
 	case "done":
--- a/soaker/mass.go
+++ b/soaker/mass.go
@@ -70,7 +70,7 @@
 	client := w.newClient(answerTimeout)
 	var accepted []string
 	for range 2 {
-		id := w.newJob(jobStep{tasks: 1 + random.IntN(6), cores: smallTaskCores, lasting: true})
+		id := w.newJobOf(w.check.unlimitedAccount(), jobStep{tasks: 1 + random.IntN(6), cores: smallTaskCores, lasting: true})
 		if w.submitJob(client, id) {
 			accepted = append(accepted, id)
 		}
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -93,7 +93,7 @@
 	node := imitator.Node{
 		Name: p.name, IP: p.host, Entry: p.role == "entry", Port: linkPort, Seeds: seeds, Bootstrap: w.bootstrap.Load(),
 		DataFolder: p.data, PolicyAddress: w.policy, MaxLease: maxLease, MaxStopTime: stopTime,
-		LossTolerance: w.tolerance, CatchUp: catchUp,
+		LossTolerance: w.tolerance, CatchUp: catchUp, QuotaOverage: quotaOverage,
 	}
 	data, err := node.Encode()
 	if err != nil {
--- a/soaker/recovery.go
+++ b/soaker/recovery.go
@@ -49,7 +49,7 @@
 	}
 	for _, p := range w.entries {
 		client := w.newClient(answerTimeout)
-		id := w.newJob(usualSteps...)
+		id := w.newJobOf(w.check.unlimitedAccount(), usualSteps...)
 		expect(func() string { return w.probeEntry(client, p, id) })
 	}
 	expect(func() string {
@@ -71,7 +71,8 @@
 // probeEntry submits a job to an entry process and returns the failure, or an empty
 // string if the job was accepted.
 func (w *world) probeEntry(client *http.Client, p *process, id string) string {
-	status, _ := send(client, http.MethodPost, w.offsetAddress(p.host, 1), queuePath+id, w.jobBody(id))
+	given, _ := w.check.credentialsFor(id)
+	status, _ := w.call(client, given, http.MethodPost, p, id, w.jobBody(id))
 	if status < 200 || status >= 300 {
 		return fmt.Sprintf("%s has accepted no job, status %d at last,", p.name, status)
 	}
@@ -186,7 +187,8 @@
 }
 
 // servesNewest reports whether an entry process knows the queue of the newest
-// acknowledged configuration, or of one sent after it, and no older one.
+// acknowledged configuration, or of one that an operator has sent after it, and no older
+// one.
 func (w *world) servesNewest(client *http.Client, p *process) bool {
 	newest := w.check.newestVersion()
 	serves := func(version uint64) bool {
@@ -196,7 +198,12 @@
 	if newest > 1 && serves(newest-1) {
 		w.check.recordViolation("%s serves version %d although %d was acknowledged", p.name, newest-1, newest)
 	}
-	return serves(newest) || serves(newest+1)
+	for version := newest; version <= newest+operatorCount; version++ {
+		if serves(version) {
+			return true
+		}
+	}
+	return false
 }
 
 // checkKnownJobs checks that each accepted job is known and gets an answer.
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -28,6 +28,7 @@
 	overlap     = flag.Bool("overlap", true, "with -replace, add partitions, disks lost during replacements and signals in series")
 	mass        = flag.Bool("mass", false, "with -seed and -seeds, add wide jobs and kinds of workers that all fail")
 	returns     = flag.Bool("return", false, "with -seed and -seeds, let workers come back under their id and orders arrive late there")
+	accounts    = flag.Bool("accounts", true, "with -seed and -seeds, give odd seeds client accounts")
 	concurrency = flag.Int("concurrency", 8, "number of soaks to run side by side")
 )
 
@@ -87,6 +88,9 @@
 // late there.
 var keptReturns = []uint64{1, 2, 3}
 
+// keptAccounts are seeds with client accounts, whose keys and quotas change.
+var keptAccounts = []uint64{1, 3}
+
 // longLength is the time for faults of longReplacements.
 const longLength = 20 * time.Second
 
@@ -146,6 +150,8 @@
 	binary string
 	// control is the number of control processes.
 	control int
+	// accounts adds client accounts, and chosen adds them to odd seeds.
+	accounts, chosen bool
 }
 
 // newSoak builds the program, and lets the test run beside the other soaks.
@@ -172,7 +178,7 @@
 		Seed: s, Length: length, Binary: k.binary, Folder: testFolder(t),
 		Control: k.control, Entries: *entries, Workers: *workers,
 		Replace: faults >= replacing, Overlap: faults >= overlapping, Mass: faults == massive || *mass,
-		Return: faults == returning || *returns,
+		Return: faults == returning || *returns, Accounts: k.accounts || k.chosen && *accounts && s%2 == 1,
 	})
 	assert.NilError(t, err)
 	t.Logf("seed %d: %d jobs, %d starts, %d faults", s, report.Jobs, report.Starts, len(report.Faults))
@@ -189,13 +195,15 @@
 // killed, paused and restarted, links are cut, and workers misbehave.
 func TestSoak(t *testing.T) {
 	soak := newSoak(t)
+	chosen := *soak
+	chosen.chosen = true
 	if *seed != 0 {
-		soak.run(t, chosenExtent(), *length, *seed)
+		chosen.run(t, chosenExtent(), *length, *seed)
 		return
 	}
 	soak.run(t, plain, *length, keptSeeds...)
 	for range *seeds {
-		soak.run(t, chosenExtent(), *length, rand.Uint64N(1<<32))
+		chosen.run(t, chosenExtent(), *length, rand.Uint64N(1<<32))
 	}
 }
 
@@ -227,6 +235,14 @@
 	newSoak(t).run(t, returning, *length, keptReturns...)
 }
 
+// Guards against calls that succeed with a key that was revoked or never valid, tasks that
+// start beyond their account's quota, and jobs of removed accounts that are lost.
+func TestSoakAccounts(t *testing.T) {
+	soak := newSoak(t)
+	soak.accounts = true
+	soak.run(t, overlapping, *length, keptAccounts...)
+}
+
 // Guards against commits that learners count for: seven hosts that tolerate one loss
 // have five voters.
 func TestSoakLearners(t *testing.T) {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -38,6 +38,9 @@
 	// Return lets workers leave, crash and come back under their id, while orders are on
 	// their way that arrive late at a later generation, and adds tasks that last.
 	Return bool
+	// Accounts adds client accounts, whose keys and quotas two operators change at the
+	// same time, and calls with keys that are revoked or unknown.
+	Accounts bool
 }
 
 const (
@@ -124,6 +127,9 @@
 		changing:     make(map[int]bool),
 		diskLosses:   make(map[int]*diskLoss),
 	}
+	if settings.Accounts {
+		w.check.accounts = newAccounts(settings.Seed)
+	}
 	w.bootstrap.Store(true)
 	var err error
 	if w.network, err = reserveNetwork(); err != nil {
@@ -143,6 +149,12 @@
 	running, end := context.WithCancel(ctx)
 	defer end()
 	callers.Go(func() { w.runOperator(running) })
+	if settings.Accounts {
+		for range operatorCount - 1 {
+			callers.Go(func() { w.runOperator(running) })
+		}
+		callers.Go(func() { w.runIntruder(running) })
+	}
 	for range callerCount {
 		callers.Go(func() { w.runCaller(running) })
 	}
@@ -169,6 +181,7 @@
 	end()
 	callers.Wait()
 	if recovered {
+		w.restoreAccounts()
 		w.endLasting(lasting)
 		w.checkEnd()
 		w.awaitJobs()
