--- /dev/null
+++ b/controller/account_test.go
@@ -0,0 +1,165 @@
+package controller_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"goldcreststack.example/goldcreststack/classifier"
+	"goldcreststack.example/goldcreststack/linker"
+	"goldcreststack.example/goldcreststack/modeler"
+	"goldcreststack.example/goldcreststack/relayer"
+)
+
+func keyOf(key string) *modeler.KeyDigest {
+	if key == "" {
+		return nil
+	}
+	digest := modeler.KeyDigest(sha256.Sum256([]byte(key)))
+	return &digest
+}
+
+// accountLayout returns a layout with a queue /q/, a public one /open/, and an account for
+// each name, whose key is the name.
+func accountLayout(number modeler.TicketNumber, names ...modeler.TeamName) *modeler.Layout {
+	policy := modeler.QueuePolicy{Service: "s", Attempts: 1}
+	l := &modeler.Layout{
+		Number: number, Keyed: true, Services: []modeler.ServiceName{"s"}, Document: fmt.Appendf(nil, "%d", number),
+		Queues: []modeler.Queue{{Host: "h", Prefix: "/q/", Policy: policy, Timeout: time.Second}, {Host: "h", Prefix: "/open/", Policy: policy, Timeout: time.Second, Public: true}},
+	}
+	for _, name := range names {
+		team := modeler.Team{Name: name, Weight: 2, Quota: modeler.Resources{Processors: 4000, Memory: 1 << 40}}
+		l.Accounts = append(l.Accounts, modeler.Account{Team: team, Keys: []modeler.KeyDigest{*keyOf(string(name))}})
+	}
+	return l
+}
+
+// caller sends calls over a relayer.
+type caller struct {
+	t *testing.T
+	r *relayer.Relayer
+}
+
+func (c *caller) set(l *modeler.Layout) {
+	c.t.Helper()
+	_, err := c.r.Call(c.t.Context(), &modeler.Call{Kind: modeler.SetLayoutCall, Layout: l})
+	assert.NilError(c.t, err)
+}
+
+// call sends a call and returns the kind of its error.
+func (c *caller) call(kind modeler.CallKind, path, key string) classifier.Kind {
+	call := &modeler.Call{Kind: kind, Host: "h", Path: path, Key: keyOf(key)}
+	if kind == modeler.SubmitCall {
+		call.Flow = &modeler.Flow{Spec: "x", Steps: []modeler.Step{{Count: 1, Need: modeler.Resources{Processors: 1000}, Estimate: time.Second}}}
+	}
+	_, err := c.r.Call(c.t.Context(), call)
+	return classifier.KindOf(err)
+}
+
+// Guards against calls that are served without the key of an account, against a caller who
+// sees or cancels the flows of another account, and against a public queue that needs a
+// key; against a key that is still in force after its revocation was acknowledged, and a
+// removed account whose flows are lost.
+func TestCallsNeedTheKeyOfTheirAccount(t *testing.T) {
+	members, r := startWatchedGroup(t, 3, nil)
+	c := &caller{t, r}
+	all := []modeler.CallKind{modeler.SubmitCall, modeler.StateCall, modeler.CancelCall, modeler.CountCall}
+	refused := func(path, key string, want classifier.Kind) {
+		t.Helper()
+		for _, kind := range all {
+			assert.Equal(t, c.call(kind, path, key), want, "%v of %s with the key %q", kind, path, key)
+		}
+	}
+	c.set(accountLayout(1, "a", "b"))
+	assert.Equal(t, c.call(modeler.SubmitCall, "/q/f1", "a"), classifier.None)
+	refused("/q/f1", "", classifier.Unauthorized)
+	refused("/q/f1", "unknown", classifier.Unauthorized)
+	refused("/elsewhere/f1", "", classifier.UnknownService)
+	assert.Equal(t, c.call(modeler.StateCall, "/q/f1", "a"), classifier.None)
+	assert.Equal(t, c.call(modeler.StateCall, "/q/f1", "b"), classifier.UnknownJob)
+	assert.Equal(t, c.call(modeler.CancelCall, "/q/f1", "b"), classifier.UnknownJob)
+	assert.Equal(t, c.call(modeler.SubmitCall, "/q/f1", "b"), classifier.KeyReused)
+	assert.Equal(t, c.call(modeler.CountCall, "/q/", "b"), classifier.None)
+	for _, key := range []string{"", "unknown", "a"} {
+		assert.Equal(t, c.call(modeler.SubmitCall, "/open/p1", key), classifier.None)
+		assert.Equal(t, c.call(modeler.StateCall, "/open/p1", key), classifier.None)
+	}
+	for i := range 6 {
+		assert.Equal(t, c.call(modeler.SubmitCall, fmt.Sprintf("/q/g%d", i), "b"), classifier.None)
+	}
+
+	c.set(accountLayout(2, "b"))
+	refused("/q/f1", "a", classifier.Unauthorized)
+	c.set(accountLayout(3))
+	refused("/q/f1", "b", classifier.Unauthorized)
+	c.set(accountLayout(4, "a"))
+	assert.Equal(t, c.call(modeler.StateCall, "/q/f1", "a"), classifier.None, "the flow of a removed account is lost")
+	assert.Equal(t, c.call(modeler.CancelCall, "/q/f1", "a"), classifier.None)
+
+	members[0].log.mu.Lock()
+	defer members[0].log.mu.Unlock()
+	beyond := bytes.Count(members[0].log.lines.Bytes(), []byte(`"beyond":true`))
+	assert.Assert(t, beyond >= 3, "%d of 6 flows are beyond a share of 2 a second", beyond)
+	for _, secret := range []string{fmt.Sprintf("%x", *keyOf("a")), fmt.Sprint(*keyOf("a")), "unknown"} {
+		assert.Assert(t, !bytes.Contains(members[0].log.lines.Bytes(), []byte(secret)), "the log holds a key")
+	}
+}
+
+// Guards against a configuration with a lower number that replaces a newer one because
+// both are offered at once.
+func TestTwoLayoutsAtOnce(t *testing.T) {
+	_, r := startWatchedGroup(t, 3, nil)
+	c := &caller{t, r}
+	for round := range modeler.TicketNumber(5) {
+		var group sync.WaitGroup
+		for _, l := range []*modeler.Layout{accountLayout(2*round+1, "lower"), accountLayout(2*round+2, "higher")} {
+			group.Go(func() {
+				_, err := r.Call(t.Context(), &modeler.Call{Kind: modeler.SetLayoutCall, Layout: l})
+				assert.Check(t, err == nil, "%v", err)
+			})
+		}
+		group.Wait()
+		assert.Equal(t, c.call(modeler.CountCall, "/q/", "higher"), classifier.None)
+		assert.Equal(t, c.call(modeler.CountCall, "/q/", "lower"), classifier.Unauthorized)
+	}
+}
+
+// Guards against a leader without a quorum that still judges keys by its own layout: a
+// later one may have revoked them.
+func TestLeaderWithoutQuorumChecksNoKeys(t *testing.T) {
+	members, r := startWatchedGroup(t, 3, nil)
+	c := &caller{t, r}
+	c.set(accountLayout(1, "a"))
+	ctx, cancel := context.WithTimeout(t.Context(), recovery)
+	defer cancel()
+	l, err := linker.Dial(ctx, members[0].Address, modeler.Hello{Entry: "direct", Incarnation: 1})
+	assert.NilError(t, err)
+	defer l.Close()
+	ask := func() classifier.Kind {
+		l.Send(&modeler.Message{Kind: modeler.CallMessage, Call: &modeler.Call{Kind: modeler.CountCall, Host: "h", Path: "/q/", Key: keyOf("a")}})
+		for {
+			select {
+			case m, open := <-l.Receive():
+				assert.Assert(t, open)
+				if m.Kind == modeler.ReplyMessage {
+					return m.Reply.Result.Kind
+				}
+			case <-ctx.Done():
+				assert.NilError(t, ctx.Err())
+			}
+		}
+	}
+	assert.Equal(t, ask(), classifier.None)
+	members[1].stop()
+	members[2].stop()
+	// The election timeout is 400 ms at least, and the lease shorter.
+	time.Sleep(500 * time.Millisecond)
+	assert.Equal(t, ask(), classifier.NoLeader)
+	assert.Equal(t, c.call(modeler.CountCall, "/q/", "a"), classifier.NoLeader)
+}
--- a/controller/quorum_test.go
+++ b/controller/quorum_test.go
@@ -106,7 +106,10 @@
 		First: modeler.Membership{Members: first}, Bootstrap: true, Resume: true,
 		ElectionMin: 400 * time.Millisecond, ElectionMax: 750 * time.Millisecond, Report: m.report,
 		Flows: &controller.FlowSettings{
-			Bounds: dispatcher.Settings{MaxLease: 6 * time.Second, MaxStopTime: 400 * time.Millisecond, GangTimeout: 3 * time.Second, MaxTimeOverTarget: 4 * time.Second},
+			Bounds: dispatcher.Settings{
+				MaxLease: 6 * time.Second, MaxStopTime: 400 * time.Millisecond, GangTimeout: 3 * time.Second, MaxTimeOverTarget: 4 * time.Second,
+				Log: func(event string, pairs ...any) { m.report.Info(event, pairs...) },
+			},
 			Send: func(context.Context, *modeler.Order) modeler.OrderAnswer {
 				return modeler.OrderAnswer{Outcome: modeler.OrderUnsent}
 			},
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -155,7 +155,7 @@
 // Guards against an answer of "not run" to a submission that a leader may have
 // accepted before the link was lost, when the leader refuses its repeat.
 func TestRefusedRepeatIsNotReportedAsNotRun(t *testing.T) {
-	for _, kind := range []classifier.Kind{classifier.QueueFull, classifier.UnknownService, classifier.StorageFull} {
+	for _, kind := range []classifier.Kind{classifier.QueueFull, classifier.UnknownService, classifier.StorageFull, classifier.Unauthorized, classifier.RateLimited} {
 		first, second := newMember(t, 1), newMember(t, 2)
 		first.answer = func(*modeler.Message) *modeler.Message {
 			second.setLeading(2, true)
@@ -188,6 +188,42 @@
 	assert.Equal(t, m.calls, 0)
 }
 
+// Guards against an entry host that serves a revoked key because it was cut off when the
+// key was revoked, or lets the caller wait: it answers that the call was not run within
+// the time that an election takes, and asks the leader again once it is reached.
+func TestEntryCutOffAcrossRevocation(t *testing.T) {
+	var revoked atomic.Bool
+	m := newMember(t, 1)
+	m.answer = func(message *modeler.Message) *modeler.Message {
+		if message.Call != nil && message.Call.Key != nil && !revoked.Load() {
+			return replyWith(modeler.Reply{})(message)
+		}
+		return replyWith(modeler.Reply{Result: modeler.Result{Kind: classifier.Unauthorized}})(message)
+	}
+	r := newRelayer(t, nil, m)
+	m.setLeading(1, true)
+	waitFor(t, "the leader", r.HasLeader)
+	call := *submit
+	call.Key = &modeler.KeyDigest{1}
+	_, err := r.Call(t.Context(), &call)
+	assert.NilError(t, err)
+	m.mu.Lock()
+	m.hello.IsLeader = false
+	m.mu.Unlock()
+	m.closeLinks()
+	waitFor(t, "the cut", func() bool { return !r.HasLeader() })
+	revoked.Store(true)
+	begun := time.Now()
+	_, err = r.Call(t.Context(), &call)
+	assert.Equal(t, classifier.KindOf(err), classifier.NoLeader)
+	assert.Equal(t, classifier.KindOf(err).Answer().Outcome, classifier.OutcomeNotRun)
+	assert.Assert(t, time.Since(begun) < 1600*time.Millisecond, "the caller has waited for %v", time.Since(begun))
+	m.setLeading(1, true)
+	waitFor(t, "the leader", r.HasLeader)
+	_, err = r.Call(t.Context(), &call)
+	assert.Equal(t, classifier.KindOf(err), classifier.Unauthorized)
+}
+
 // Guards against a refusal by the leader that is reported as a lost call.
 func TestRefusalOfTheLeader(t *testing.T) {
 	m := newMember(t, 1)
