--- a/accountant/ledger.go
+++ b/accountant/ledger.go
@@ -25,11 +25,15 @@
 type Account struct {
 	Team modeler.Team
 	used modeler.Resources
-	// lasting is the part of used that long-running tasks hold.
-	lasting modeler.Resources
+	// lasting is the part of used that long-running tasks hold, and reserved the part of
+	// the quota that is kept for waiting work.
+	lasting  modeler.Resources
+	reserved modeler.Resources
 	// running counts the attempts, and overage is that of the ledger.
 	running int
 	overage float64
+	// virtualTime orders the accounts for fair sharing, see FairShare.
+	virtualTime VirtualTime
 }
 
 // NewLedger returns a ledger without accounts. Gangs may exceed a quota by the part
@@ -139,6 +143,19 @@
 	return &Account{Team: a.Team, overage: a.overage, used: a.lasting, lasting: a.lasting}
 }
 
+// Reserve replaces the part of the quota that is kept for waiting work.
+func (a *Account) Reserve(r modeler.Resources) { a.reserved = r }
+
+// Remaining returns what is left of the quota. The part that is kept for waiting work
+// counts as left only for that work.
+func (a *Account) Remaining(holdsReservation bool) modeler.Resources {
+	rest := a.Team.Quota.Sub(a.used)
+	if holdsReservation {
+		return rest
+	}
+	return rest.Sub(a.reserved)
+}
+
 // IsHardlyUsed reports whether at most one part in quotaDivisor of the quota is in use.
 func (a *Account) IsHardlyUsed() bool {
 	return a == nil || a.used.Times(quotaDivisor).Fits(a.Team.Quota)
--- a/placer/check.go
+++ b/placer/check.go
@@ -47,16 +47,16 @@
 // checkQuota checks a batch job's quota for one task, and that of other jobs for
 // all their tasks together, because these run at the same time.
 func checkQuota(desc modeler.Job, t *team) error {
-	if !desc.Size.Fits(t.Quota) {
+	if !desc.Size.Fits(t.Team.Quota) {
 		return classifier.New(classifier.QuotaExceeded,
-			"one task takes %s, the quota of team %q is %s", describe(desc.Size), t.Name, describe(t.Quota))
+			"one task takes %s, the quota of team %q is %s", describe(desc.Size), t.Team.Name, describe(t.Team.Quota))
 	}
-	if desc.Kind == modeler.Batch || countWithin(desc.Size, t.Quota) >= desc.Tasks {
+	if desc.Kind == modeler.Batch || countWithin(desc.Size, t.Team.Quota) >= desc.Tasks {
 		return nil
 	}
 	return classifier.New(classifier.QuotaExceeded,
 		"%d tasks of %s run at once, the quota of team %q is %s",
-		desc.Tasks, describe(desc.Size), t.Name, describe(t.Quota))
+		desc.Tasks, describe(desc.Size), t.Team.Name, describe(t.Team.Quota))
 }
 
 func (p *Placer) checkRoom(desc modeler.Job) error {
--- a/placer/decide.go
+++ b/placer/decide.go
@@ -114,7 +114,7 @@
 func (p *Placer) tryJob(j *job) {
 	l := &j.team.byClass[j.class]
 	demand := j.demand()
-	if !demand.Fits(j.team.Quota) {
+	if !demand.Fits(j.team.Team.Quota) {
 		p.dequeue(j)
 		j.state = oversize
 		j.team.oversize = append(j.team.oversize, j)
@@ -201,7 +201,7 @@
 	}
 	t.parkedTeamIndex = len(p.parkedTeams)
 	p.parkedTeams = append(p.parkedTeams, t)
-	p.parkedVirtualTimes = append(p.parkedVirtualTimes, t.virtualTime)
+	p.parkedVirtualTimes = append(p.parkedVirtualTimes, t.VirtualTime())
 	for c := range t.byClass {
 		for g := range t.byClass[c].parked {
 			t.byClass[c].parked[g].attachTable(&p.leastSizes[c][g], t)
--- a/placer/hold.go
+++ b/placer/hold.go
@@ -1,6 +1,9 @@
 package placer
 
-import "goldcreststack.example/goldcreststack/modeler"
+import (
+	"goldcreststack.example/goldcreststack/accountant"
+	"goldcreststack.example/goldcreststack/modeler"
+)
 
 // assignTask records that the worker holds a new attempt of the task.
 func (p *Placer) assignTask(t *task, w *worker, kind roomKind) {
@@ -18,13 +21,17 @@
 	w.addToSums(t, 1)
 	j.countPlacement(t, w)
 	j.placed++
-	j.team.used = j.team.used.Add(j.Size)
-	j.team.running++
+	j.team.Add(j.charge())
 	p.running++
 	p.noteProbe(w, t)
 	p.updateRoom(w)
 }
 
+// charge returns what a task of the job takes of its team's quota.
+func (j *job) charge() accountant.Charge {
+	return accountant.Charge{Need: j.Size, Lasting: j.Kind == modeler.LongRunning}
+}
+
 // releaseTask frees the resources that the task holds on its worker and in its
 // team's quota.
 func (p *Placer) releaseTask(t *task) {
@@ -37,8 +44,7 @@
 	w.addToSums(t, -1)
 	j.countPlacement(t, nil)
 	j.placed--
-	j.team.used = j.team.used.Sub(j.Size)
-	j.team.running--
+	j.team.Remove(j.charge())
 	p.running--
 	t.worker = nil
 	p.updateRoom(w)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -1,6 +1,9 @@
 package placer
 
-import "goldcreststack.example/goldcreststack/modeler"
+import (
+	"goldcreststack.example/goldcreststack/accountant"
+	"goldcreststack.example/goldcreststack/modeler"
+)
 
 // Placer decides on the placement of all tasks of a cell. It is not safe for
 // concurrent use.
@@ -21,12 +24,12 @@
 	// capacityVersion changes whenever the capacity of the cell does.
 	capacityVersion uint64
 
-	teams       map[modeler.TeamName]*team
-	jobs        map[modeler.JobID]*job
-	sequence    uint64       // arrival number of the newest job
-	virtualTime uint64       // highest virtual time of a team at a placement
-	waiting     [classes]int // waiting tasks
-	running     int          // placed tasks
+	teams     map[modeler.TeamName]*team
+	jobs      map[modeler.JobID]*job
+	sequence  uint64 // arrival number of the newest job
+	fairShare accountant.FairShare
+	waiting   [classes]int // waiting tasks
+	running   int          // placed tasks
 
 	// ready lists the teams that have a queued job to try. parkedTeams lists
 	// the teams that have ever had a parked job; parkedVirtualTimes, with the
@@ -35,7 +38,7 @@
 	// of these teams.
 	ready              [classes][]*team
 	parkedTeams        []*team
-	parkedVirtualTimes []uint64
+	parkedVirtualTimes []accountant.VirtualTime
 	leastSizes         [classes][parkGroups]leastSizes
 	// queryBuffer and matchedTeams are reused so that a search allocates
 	// nothing.
--- a/placer/reserve.go
+++ b/placer/reserve.go
@@ -153,7 +153,7 @@
 		p.reserved.preemptAt = p.now
 	}
 	j.hasReservation = true
-	j.team.reserved = j.Size.Times(int64(n))
+	j.team.Reserve(j.Size.Times(int64(n)))
 	j.parkedJobs().hide(j)
 	p.reserved.setEarmarks(p)
 }
@@ -371,7 +371,7 @@
 // clearReservation frees the room and the quota that the reservation holds.
 func (p *Placer) clearReservation(r *reservation) {
 	r.clearEarmarks(p)
-	r.job.team.reserved = modeler.Resources{}
+	r.job.team.Reserve(modeler.Resources{})
 	r.job.hasReservation = false
 	p.reserved = nil
 	p.unblockTeam(r.job.team)
--- a/placer/search.go
+++ b/placer/search.go
@@ -58,7 +58,7 @@
 func (f *finder) reset(j *job, kind roomKind, limit int) {
 	f.job = j
 	f.kind = kind
-	f.pack = j.team.Policy == modeler.Pack
+	f.pack = j.team.Team.Policy == modeler.Pack
 	f.isService = j.Kind == modeler.LongRunning
 	f.skipFailed = false
 	f.canProbe = j.mayProbe()
--- a/placer/team.go
+++ b/placer/team.go
@@ -3,21 +3,16 @@
 import (
 	"container/heap"
 
+	"goldcreststack.example/goldcreststack/accountant"
 	"goldcreststack.example/goldcreststack/modeler"
 )
 
-// team is a team with its waiting jobs and the resources of its placed tasks.
+// team is a team with its waiting jobs.
 type team struct {
-	modeler.Team
-	used modeler.Resources // declared sizes of the placed tasks
-	// reserved is the part of the quota that is kept for the team's job with
-	// the reservation.
-	reserved modeler.Resources
-	waiting  int // number of waiting tasks
-	running  int // number of placed tasks
-	// virtualTime orders the teams for fair sharing. Each placement increases it
-	// by the share of the cell that it takes, divided by the team's weight.
-	virtualTime uint64
+	// Account holds the quota, the declared sizes of the placed tasks, the part of the
+	// quota that is kept for the team's job with the reservation, and the virtual time.
+	accountant.Account
+	waiting int // number of waiting tasks
 	// parkedTeamIndex is the team's index in Placer.parkedTeams, -1 if none.
 	parkedTeamIndex int
 	parkedCount     int // number of jobs that have a place in any parkedJobs
@@ -42,7 +37,7 @@
 	p.now = now
 	t := p.teamOf(desc.Name)
 	t.Team = desc
-	t.Weight = max(desc.Weight, 1)
+	t.Team.Weight = max(desc.Weight, 1)
 	p.requeueOversize(t)
 	p.unblockTeam(t)
 }
@@ -55,8 +50,8 @@
 	if t == nil {
 		return
 	}
-	t.Quota = modeler.Resources{}
-	if t.waiting == 0 && t.running == 0 {
+	t.Team.Quota = modeler.Resources{}
+	if t.waiting == 0 && t.Running() == 0 {
 		delete(p.teams, name)
 	}
 }
@@ -65,7 +60,7 @@
 func (p *Placer) teamOf(name modeler.TeamName) *team {
 	t := p.teams[name]
 	if t == nil {
-		t = &team{Team: modeler.Team{Name: name, Weight: 1}, parkedTeamIndex: -1}
+		t = &team{Account: accountant.Account{Team: modeler.Team{Name: name, Weight: 1}}, parkedTeamIndex: -1}
 		p.teams[name] = t
 	}
 	return t
@@ -73,11 +68,7 @@
 
 // remainingQuota returns the quota that is left for a job of the team.
 func (t *team) remainingQuota(j *job) modeler.Resources {
-	remainingQuota := t.Quota.Sub(t.used).Sub(t.reserved)
-	if j.hasReservation {
-		remainingQuota = remainingQuota.Add(t.reserved)
-	}
-	return remainingQuota
+	return t.Remaining(j.hasReservation)
 }
 
 // enqueue adds a job with waiting tasks to its team's queue. A team that was
@@ -87,7 +78,8 @@
 	t := j.team
 	l := &t.byClass[j.class]
 	if t.isIdle() {
-		p.setVirtualTime(t, max(t.virtualTime, p.virtualTime))
+		p.fairShare.Resume(&t.Account)
+		p.publishVirtualTime(t)
 	}
 	j.parkedJobs().hide(j)
 	j.state = queued
@@ -155,7 +147,7 @@
 			list = list[:len(list)-1]
 			continue
 		}
-		if first == nil || t.virtualTime < first.virtualTime {
+		if first == nil || t.VirtualTime() < first.VirtualTime() {
 			first, head = t, j
 		}
 		i++
@@ -167,15 +159,14 @@
 // chargeTeam increases the team's virtual time for n placements of the job.
 func (p *Placer) chargeTeam(j *job, n int) {
 	t := j.team
-	p.virtualTime = max(p.virtualTime, t.virtualTime)
-	p.setVirtualTime(t, t.virtualTime+p.cellShare(j.Size)*uint64(n)/uint64(max(t.Weight, 1)))
+	p.fairShare.Charge(&t.Account, accountant.VirtualTime(p.cellShare(j.Size)), n)
+	p.publishVirtualTime(t)
 }
 
-// setVirtualTime sets the team's virtual time, also in parkedVirtualTimes.
-func (p *Placer) setVirtualTime(t *team, virtualTime uint64) {
-	t.virtualTime = virtualTime
+// publishVirtualTime stores the team's virtual time in parkedVirtualTimes.
+func (p *Placer) publishVirtualTime(t *team) {
 	if t.parkedTeamIndex >= 0 {
-		p.parkedVirtualTimes[t.parkedTeamIndex] = virtualTime
+		p.parkedVirtualTimes[t.parkedTeamIndex] = t.VirtualTime()
 	}
 }
 
--- a/placer/why.go
+++ b/placer/why.go
@@ -30,13 +30,13 @@
 		n = j.waiting()
 	}
 	switch {
-	case !demand.Fits(j.team.Quota):
+	case !demand.Fits(j.team.Team.Quota):
 		return fmt.Sprintf("quota: %s exceeds the whole quota of team %q, %s",
-			describe(demand), j.team.Name, describe(j.team.Quota))
+			describe(demand), j.team.Team.Name, describe(j.team.Team.Quota))
 	case !p.couldHold(j, n):
 		return "set aside: the workers that are present could not hold it even when empty"
 	case !demand.Fits(j.team.remainingQuota(j)):
-		return fmt.Sprintf("quota: team %q has %s left", j.team.Name, describe(nonNegative(j.team.remainingQuota(j))))
+		return fmt.Sprintf("quota: team %q has %s left", j.team.Team.Name, describe(nonNegative(j.team.remainingQuota(j))))
 	case j.hasReservation:
 		return "room is being drained for it"
 	case j.earmarkedTasks > 0:
@@ -169,7 +169,7 @@
 		}
 	}
 	for _, t := range p.teams {
-		s.Teams = append(s.Teams, TeamStats{t.Name, t.used, t.running, t.waiting})
+		s.Teams = append(s.Teams, TeamStats{t.Team.Name, t.Used(), t.Running(), t.waiting})
 	}
 	slices.SortFunc(s.Teams, func(a, b TeamStats) int { return cmp.Compare(a.Team, b.Team) })
 	return s
