Operators see what accounts use and why their work waits

status lists accounts, waiting tasks by reason and the first waiting steps; every host of the platform serves it at its metrics port, by asking the leader. Metrics by account cover the 20 with the most processors running and sum up the others. waits shows the account of a flow and which part of ROOM and REST it waited for its quota: a step's total wait now stands in its lines.

--- a/controller/account_test.go
+++ b/controller/account_test.go
@@ -94,6 +94,17 @@
 		assert.Equal(t, c.call(modeler.SubmitCall, fmt.Sprintf("/q/g%d", i), "b"), classifier.None)
 	}
 
+	for metric, value := range map[string]string{"account_tasks_waiting": "6", "account_tasks_running": "0"} {
+		assert.Assert(t, members[0].hasMetric(metric, value), metric)
+	}
+	status := members[0].status(t)
+	assert.Equal(t, status.Accounts[0].Account, modeler.TeamName("b"))
+	assert.Equal(t, status.Accounts[0].Waiting, 6)
+	assert.Equal(t, len(status.Steps), 8)
+	document, err := r.Status(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Contains(document, []byte(`"accounts":[{"account":"b"`)), "%s", document)
+
 	c.set(accountLayout(2, "b"))
 	refused("/q/f1", "a", classifier.Unauthorized)
 	c.set(accountLayout(3))
--- a/controller/query.go
+++ b/controller/query.go
@@ -68,9 +68,25 @@
 	s.Services = l.serviceStatuses()
 	s.Tasks.Waiting, s.Tasks.Running = l.cell.Stats().Waiting, l.taskSupervisor.AttemptCount()
 	l.listJobs(now, s)
+	if l.flows != nil {
+		l.flows.addStatus(now, s)
+	}
 	return s
 }
 
+// addStatus adds the accounts and the first waiting steps of flows.
+func (l *flowLeadership) addStatus(now modeler.ClockReading, s *modeler.Status) {
+	stats := l.cell.Stats(now)
+	s.Accounts, s.Reasons = stats.Accounts, stats.Reasons
+	for i := range stats.Steps {
+		step := &stats.Steps[i]
+		s.Steps = append(s.Steps, modeler.StepStatus{
+			Request: step.Request, Step: step.Step, Queue: step.Queue, Account: step.Account,
+			Tasks: step.Tasks, Waited: step.WaitingFor, Reason: step.Reason,
+		})
+	}
+}
+
 func (l *leadership) workerSummary() modeler.WorkerSummary {
 	stats := l.cell.Stats()
 	s := modeler.WorkerSummary{
--- a/controller/report.go
+++ b/controller/report.go
@@ -222,6 +222,9 @@
 		}
 		return float64(v.LostElection.Count)
 	})
+	r.AddMetrics(func(write func(name string, value float64, labels ...reporter.Label)) {
+		c.writeAccountMetrics(ctx, write)
+	})
 	r.AddSection("control", func() any {
 		ctx, cancel := context.WithTimeout(ctx, viewTimeout)
 		defer cancel()
@@ -230,6 +233,38 @@
 	})
 }
 
+// maxAccountMetrics bounds the accounts with metrics of their own: each has five series on
+// each control process.
+const maxAccountMetrics = 20
+
+// writeAccountMetrics writes the metrics of the accounts with the most processors running.
+// The others are summed up, as the label is empty there.
+func (c *Controller) writeAccountMetrics(ctx context.Context, write func(name string, value float64, labels ...reporter.Label)) {
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	answer := make(chan []modeler.AccountStatus, 1)
+	c.post(ctx, inspectRequest{visit: func(k *core) {
+		var accounts []modeler.AccountStatus
+		if k.leader != nil && k.leader.flows != nil {
+			accounts = k.leader.flows.cell.Accounts(maxAccountMetrics)
+		}
+		answer <- accounts
+	}})
+	select {
+	case accounts := <-answer:
+		for i := range accounts {
+			a := &accounts[i]
+			label := reporter.Label{Name: "account", Value: string(a.Account)}
+			write("account_processors", float64(a.Used.Processors)/1000, label)
+			write("account_tasks_running", float64(a.Running), label)
+			write("account_tasks_waiting", float64(a.Waiting), label)
+			write("account_tasks_beyond_share", float64(a.BeyondShare), label)
+			write("account_tasks_at_quota", float64(a.QuotaWaits), label)
+		}
+	case <-ctx.Done():
+	}
+}
+
 func boolGauge(b bool) float64 {
 	if b {
 		return 1
--- a/dispatcher/account.go
+++ b/dispatcher/account.go
@@ -54,7 +54,7 @@
 // of which members still run waits for their end and not for the quota.
 func (d *Dispatcher) updateQuotaWait(now modeler.ClockReading, u *unit) bool {
 	if u.account == nil || u.step.Gang && u.waiting.len() < u.step.Count {
-		u.waitsForQuota = false
+		d.noteQuotaWait(now, u, false)
 		return false
 	}
 	waits := !isAdmitted(u.account, u.step)
@@ -64,10 +64,7 @@
 	case !waits && d.blockedAccounts[u.account]:
 		waits = !u.step.LongRunning || !u.account.IsHardlyUsed()
 	}
-	u.waitsForQuota = waits
-	if waits != u.quotaWaitLogged {
-		d.logQuotaWait(now, u, waits)
-	}
+	d.noteQuotaWait(now, u, waits)
 	return waits
 }
 
@@ -85,19 +82,25 @@
 // a step with many tasks at its quota does so with each of them.
 const maxQuotaLines = 3
 
-// logQuotaWait writes a log line when a step begins or ceases to wait for its quota.
-func (d *Dispatcher) logQuotaWait(now modeler.ClockReading, u *unit, waits bool) {
-	u.quotaWaitLogged = waits
+// noteQuotaWait records that a step begins or ceases to wait for its quota.
+func (d *Dispatcher) noteQuotaWait(now modeler.ClockReading, u *unit, waits bool) {
+	if waits == u.waitsForQuota {
+		return
+	}
+	u.waitsForQuota = waits
 	event := "step no longer waits for the quota of its account"
 	if waits {
 		event = "step waits for the quota of its account"
+		u.quotaSince = now
 		u.quotaLines++
+	} else {
+		u.quotaWaited += now.Sub(u.quotaSince)
 	}
 	if u.quotaLines > maxQuotaLines {
 		return
 	}
 	d.settings.Log(event, "request", u.key.Flow, "occurrence", u.key.Occurrence, "step", u.key.Step, "account", u.account.Team.Name,
-		"waiting", u.waiting.len(), "waited", now.Sub(u.readyAt).String(), "attempts", u.account.Running())
+		"waiting", u.waiting.len(), "waited", now.Sub(u.readyAt).String(), "capped", u.quotaWaited.String(), "attempts", u.account.Running())
 }
 
 // CheckQuota returns an error if a gang of the flow is wider than its account may ever
--- a/dispatcher/account_test.go
+++ b/dispatcher/account_test.go
@@ -9,7 +9,6 @@
 	"gotest.tools/v3/assert"
 
 	"goldcreststack.example/goldcreststack/classifier"
-	"goldcreststack.example/goldcreststack/dispatcher"
 	"goldcreststack.example/goldcreststack/modeler"
 )
 
@@ -75,13 +74,13 @@
 }
 
 // usedBy returns what the leader counts for an account.
-func (r *rig) usedBy(team modeler.TeamName) dispatcher.AccountUse {
+func (r *rig) usedBy(team modeler.TeamName) modeler.AccountStatus {
 	for _, use := range r.leader.Stats(r.now).Accounts {
 		if use.Account == team {
 			return use
 		}
 	}
-	return dispatcher.AccountUse{}
+	return modeler.AccountStatus{}
 }
 
 // finished returns how many flows whose ids begin with a text are completed.
@@ -143,7 +142,26 @@
 	r.run(8 * time.Second)
 	assert.Assert(t, r.leader.IsLateBeyondShare("q", "a"))
 	assert.Assert(t, !r.leader.IsLateBeyondShare("q", "b"))
-	assert.Equal(t, r.leader.Stats(r.now).Steps[0].Reason, dispatcher.WaitsForQuota)
+	assert.Equal(t, r.leader.Stats(r.now).Steps[0].Reason, modeler.WaitsForQuota)
+}
+
+// Guards against metrics that grow with the number of accounts, and against a sum that
+// leaves some of them out.
+func TestOtherAccountsAreSummed(t *testing.T) {
+	r := newRig(t, 3)
+	var accounts []modeler.Account
+	for i := range 30 {
+		accounts = append(accounts, account(modeler.TeamName(fmt.Sprintf("a%02d", i)), 4))
+	}
+	r.setAccounts(accounts...)
+	for i := range 30 {
+		r.submitFor(accounts[i].Team.Name, false, flow(modeler.FlowID(fmt.Sprintf("f%03d", i)), step(i+1, 1, time.Second)))
+	}
+	uses := r.leader.Accounts(20)
+	assert.Equal(t, len(uses), 21)
+	assert.Equal(t, uses[0].Account, modeler.TeamName("a29"))
+	assert.Equal(t, uses[20].Account, modeler.OtherAccounts)
+	assert.Equal(t, uses[20].Waiting, 10*11/2)
 }
 
 // Guards against a gang that starves behind smaller steps of its account, one that
@@ -250,7 +268,7 @@
 	assert.Equal(t, use.Quota.Processors, modeler.Millicores(4000))
 	r.run(40 * time.Second)
 	assert.Equal(t, r.finished("f", 16), 16)
-	assert.Equal(t, r.usedBy("a"), dispatcher.AccountUse{})
+	assert.Equal(t, r.usedBy("a"), modeler.AccountStatus{})
 }
 
 // Guards against attempts that are being stopped or copied and don't count, so that their
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -223,7 +223,7 @@
 	}
 	d.settings.Log("tasks placed", "request", u.key.Flow, "occurrence", u.key.Occurrence, "step", u.key.Step,
 		"first", starts[0].Task.Index, "attempt", starts[0].Attempt, "count", len(starts), "workers", workers,
-		"waited", now.Sub(u.readyAt).String(), "left", u.waiting.len())
+		"waited", now.Sub(u.readyAt).String(), "capped", u.quotaWaited.String(), "left", u.waiting.len())
 }
 
 // proposeStart proposes an attempt and reserves its resources.
--- a/dispatcher/stats.go
+++ b/dispatcher/stats.go
@@ -29,8 +29,10 @@
 	// that get no tasks.
 	Steps []WaitingStep `json:"steps,omitempty"`
 	// Accounts lists the client accounts, those with the most processors running first.
-	Accounts []AccountUse `json:"accounts,omitempty"`
-	Idle     []IdleWorker `json:"idle,omitempty"`
+	Accounts []modeler.AccountStatus `json:"accounts,omitempty"`
+	// Reasons counts the waiting tasks by what they wait for.
+	Reasons map[modeler.WaitReason]int `json:"reasons,omitempty"`
+	Idle    []IdleWorker               `json:"idle,omitempty"`
 }
 
 // WaitingStep is a step with tasks that wait for workers.
@@ -41,54 +43,30 @@
 	Queue      modeler.QueueID    `json:"queue"`
 	Tasks      int                `json:"tasks"`
 	// WaitingFor is the time since the step became ready.
-	WaitingFor string `json:"waits"`
+	WaitingFor modeler.Duration `json:"waits"`
 	// Permitted and Denied count the workers that the outside policy has allowed
 	// and denied. Asking means that a permit request is open.
 	Permitted int  `json:"permitted"`
 	Denied    int  `json:"denied"`
 	Asking    bool `json:"asking"`
 	// Account is the client account of the flow, and Reason what the step waits for.
-	Account modeler.TeamName `json:"account,omitempty"`
-	Reason  WaitReason       `json:"reason"`
+	Account modeler.TeamName   `json:"account,omitempty"`
+	Reason  modeler.WaitReason `json:"reason"`
 	// Reserved lists the workers on which room is kept for the step, and Need is
 	// what one of its tasks needs.
 	Reserved []modeler.WorkerID `json:"reserved,omitempty"`
 	Need     modeler.Resources  `json:"need"`
 }
 
-// WaitReason says what a step waits for.
-type WaitReason string
-
-// The reasons for which steps wait.
-const (
-	WaitsForQuota  WaitReason = "quota"
-	WaitsForShare  WaitReason = "share"
-	WaitsForPermit WaitReason = "permit"
-	WaitsForRoom   WaitReason = "room"
-)
-
-// AccountUse is what a client account has running and waiting.
-type AccountUse struct {
-	Account modeler.TeamName  `json:"account"`
-	Used    modeler.Resources `json:"used"`
-	Quota   modeler.Resources `json:"quota"`
-	Weight  int               `json:"weight"`
-	Running int               `json:"running"`
-	Waiting int               `json:"waiting"`
-	// BeyondShare counts the waiting tasks that are beyond the account's share, and
-	// QuotaWaits those that wait for its quota.
-	BeyondShare int `json:"beyond"`
-	QuotaWaits  int `json:"capped"`
-}
-
-// accountUses returns what the accounts with the most processors running use.
-func (d *Dispatcher) accountUses() []AccountUse {
+// Accounts returns what the accounts use, those with the most processors running first.
+// If there are more than most, the last entry sums up the others.
+func (d *Dispatcher) Accounts(most int) []modeler.AccountStatus {
 	accounts := d.ledger.Accounts()
-	uses := make([]AccountUse, 0, min(len(accounts), maxStatsEntries))
-	at := make(map[*accountant.Account]int)
-	for _, a := range accounts[:min(len(accounts), maxStatsEntries)] {
+	uses := make([]modeler.AccountStatus, 0, len(accounts))
+	at := make(map[*accountant.Account]int, len(accounts))
+	for _, a := range accounts {
 		at[a] = len(uses)
-		uses = append(uses, AccountUse{Account: a.Team.Name, Used: a.Used(), Quota: a.Team.Quota, Weight: a.Team.Weight, Running: a.Running()})
+		uses = append(uses, modeler.AccountStatus{Account: a.Team.Name, Used: a.Used(), Quota: a.Team.Quota, Weight: a.Team.Weight, Running: a.Running()})
 	}
 	for _, u := range d.sortedUnits {
 		i, listed := at[u.account]
@@ -103,21 +81,45 @@
 			uses[i].QuotaWaits += u.waiting.len()
 		}
 	}
-	return uses
+	slices.SortFunc(uses, func(a, b modeler.AccountStatus) int {
+		return cmp.Or(cmp.Compare(b.Used.Processors, a.Used.Processors), cmp.Compare(b.Waiting, a.Waiting), cmp.Compare(a.Account, b.Account))
+	})
+	if len(uses) <= most {
+		return uses
+	}
+	others := modeler.AccountStatus{Account: modeler.OtherAccounts}
+	for _, use := range uses[most:] {
+		others.Used = others.Used.Add(use.Used)
+		others.Running += use.Running
+		others.Waiting += use.Waiting
+		others.BeyondShare += use.BeyondShare
+		others.QuotaWaits += use.QuotaWaits
+	}
+	return append(uses[:most], others)
 }
 
 // waitReason returns what a waiting step waits for.
-func (d *Dispatcher) waitReason(now modeler.ClockReading, u *unit) WaitReason {
+func (d *Dispatcher) waitReason(now modeler.ClockReading, u *unit) modeler.WaitReason {
 	switch {
 	case u.waitsForQuota:
-		return WaitsForQuota
-	case u.policy.Permits != nil && !slices.ContainsFunc(d.hostList, func(h *host) bool { return u.allows(now, h) }):
-		return WaitsForPermit
+		return modeler.WaitsForQuota
+	case u.policy.Permits != nil && !d.hasPermit(now, u):
+		return modeler.WaitsForPermit
 	case u.beyondShare:
-		return WaitsForShare
+		return modeler.WaitsForShare
 	default:
-		return WaitsForRoom
+		return modeler.WaitsForRoom
+	}
+}
+
+// hasPermit reports whether the outside policy allows a worker for the step now.
+func (d *Dispatcher) hasPermit(now modeler.ClockReading, u *unit) bool {
+	for id := range u.permits {
+		if h := d.hosts[id]; h != nil && u.allows(now, h) {
+			return true
+		}
 	}
+	return false
 }
 
 // IdleWorker is a worker that gets no tasks, with the reason.
@@ -155,12 +157,15 @@
 	}
 	slices.SortFunc(s.Idle, func(a, b IdleWorker) int { return cmp.Compare(a.Worker, b.Worker) })
 	s.Idle = s.Idle[:min(len(s.Idle), maxStatsEntries)]
-	s.Accounts = d.accountUses()
+	s.Accounts = d.Accounts(maxStatsEntries)
+	s.Reasons = make(map[modeler.WaitReason]int)
 	for _, u := range d.sortedUnits {
 		if !u.ready || u.waiting.len() == 0 {
 			continue
 		}
 		s.Waiting += u.waiting.len()
+		reason := d.waitReason(now, u)
+		s.Reasons[reason] += u.waiting.len()
 		if len(s.Steps) < maxStatsEntries {
 			var reserved []modeler.WorkerID
 			for _, v := range u.reservations {
@@ -168,9 +173,9 @@
 			}
 			s.Steps = append(s.Steps, WaitingStep{
 				Request: u.key.Flow, Occurrence: u.key.Occurrence, Step: u.key.Step, Queue: u.flow.Spec.Queue,
-				Tasks: u.waiting.len(), WaitingFor: now.Sub(u.readyAt).String(),
+				Tasks: u.waiting.len(), WaitingFor: modeler.Duration(now.Sub(u.readyAt)),
 				Permitted: len(u.permits), Denied: len(u.denied), Asking: u.isAsking,
-				Account: u.flow.Spec.Team, Reason: d.waitReason(now, u),
+				Account: u.flow.Spec.Team, Reason: reason,
 				Reserved: reserved, Need: neededBy(u.step),
 			})
 		}
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -76,12 +76,13 @@
 	// learned is the count of the queue's run times that the deadlines rest on.
 	learned int
 	// account is the one that the flow belongs to, or nil. waitsForQuota means that the
-	// step waits until more of its quota is free, quotaWaitLogged that the log has told
-	// so, and quotaLines counts how often it has.
-	account         *accountant.Account
-	waitsForQuota   bool
-	quotaWaitLogged bool
-	quotaLines      int
+	// step waits until more of its quota is free, since quotaSince. quotaWaited is how
+	// long it has waited so before, and quotaLines counts the waits that were logged.
+	account       *accountant.Account
+	waitsForQuota bool
+	quotaSince    modeler.ClockReading
+	quotaWaited   time.Duration
+	quotaLines    int
 	// beyondShare means that the step goes behind those of accounts within their share.
 	beyondShare bool
 }
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -27,6 +27,7 @@
 	"goldcreststack.example/goldcreststack/dispatcher"
 	"goldcreststack.example/goldcreststack/drainer"
 	"goldcreststack.example/goldcreststack/linker"
+	"goldcreststack.example/goldcreststack/listener"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/platform"
 	"goldcreststack.example/goldcreststack/pruner"
@@ -100,13 +101,23 @@
 // file repeats it.
 const metricsPort = "9464"
 
-// diagnosticsHandler serves the metrics, the CPU profile and the state dump.
+// diagnosticsHandler serves the metrics, the CPU profile, the state dump, and the leader's
+// status for the operators' command line.
 func (p *process) diagnosticsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		reporter.WriteMetrics(w, p.report)
 	})
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, r *http.Request) {
+		document, err := p.relay.Status(r.Context())
+		if err != nil {
+			listener.WriteError(w, err, classifier.KindOf(err).Answer().Outcome)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(document)
+	})
 	mux.HandleFunc("GET /debug/state", func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		if err := p.report.WriteDump(r.Context(), w); err != nil {
--- a/modeler/status.go
+++ b/modeler/status.go
@@ -52,6 +52,52 @@
 	Hidden int `json:"hidden,omitempty"`
 	// Records counts the stored records of at-most-once requests.
 	Records int `json:"records"`
+	// Accounts lists the client accounts, and Steps the first steps of flows that wait, in
+	// the order in which they get room. Reasons counts all waiting tasks of flows by what
+	// they wait for.
+	Accounts []AccountStatus    `json:"accounts,omitempty"`
+	Steps    []StepStatus       `json:"steps,omitempty"`
+	Reasons  map[WaitReason]int `json:"reasons,omitempty"`
+}
+
+// OtherAccounts stands for the accounts that a list sums up in its last entry. It differs
+// from the names of accounts that operators may choose, since those are not empty.
+const OtherAccounts TeamName = ""
+
+// AccountStatus is what a client account has running and waiting.
+type AccountStatus struct {
+	Account TeamName  `json:"account"`
+	Used    Resources `json:"used"`
+	Quota   Resources `json:"quota"`
+	Weight  int       `json:"weight"`
+	Running int       `json:"running"`
+	Waiting int       `json:"waiting"`
+	// BeyondShare counts the waiting tasks that are beyond the account's share, and
+	// QuotaWaits those that wait for its quota.
+	BeyondShare int `json:"beyond"`
+	QuotaWaits  int `json:"capped"`
+}
+
+// WaitReason says what a step waits for.
+type WaitReason string
+
+// The reasons for which steps wait.
+const (
+	WaitsForQuota  WaitReason = "quota"
+	WaitsForShare  WaitReason = "share"
+	WaitsForPermit WaitReason = "permit"
+	WaitsForRoom   WaitReason = "room"
+)
+
+// StepStatus is a step of a flow with tasks that wait for workers.
+type StepStatus struct {
+	Request FlowID     `json:"request"`
+	Step    StepIndex  `json:"step"`
+	Queue   QueueID    `json:"queue"`
+	Account TeamName   `json:"account,omitempty"`
+	Tasks   int        `json:"tasks"`
+	Waited  Duration   `json:"waited"`
+	Reason  WaitReason `json:"reason"`
 }
 
 // MemberStatus is a member's state as the leader knows it.
--- a/operator/report.go
+++ b/operator/report.go
@@ -5,9 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"goldcreststack.example/goldcreststack/modeler"
 )
@@ -198,6 +201,43 @@
 	if a.Hidden > 0 {
 		fmt.Fprintf(out, "%d more jobs are not listed\n", a.Hidden)
 	}
+	printAccounts(out, a.Accounts)
+	printSteps(out, a)
+}
+
+// printAccounts prints the accounts, with processors in cores.
+func printAccounts(out io.Writer, accounts []modeler.AccountStatus) {
+	if len(accounts) > 0 {
+		fmt.Fprintln(out, "\nACCOUNT\tCORES\tQUOTA\tWEIGHT\tRUNNING\tWAITING\tAT QUOTA\tBEYOND SHARE")
+	}
+	for _, a := range accounts {
+		name, quota, weight := string(a.Account), "none", strconv.Itoa(a.Weight)
+		if a.Quota.Processors < modeler.NoLimit.Processors {
+			quota = fmt.Sprintf("%.1f", float64(a.Quota.Processors)/1000)
+		}
+		if a.Account == modeler.OtherAccounts {
+			name, quota, weight = "others", "", ""
+		}
+		fmt.Fprintf(out, "%s\t%.1f\t%s\t%s\t%d\t%d\t%d\t%d\n", name, float64(a.Used.Processors)/1000, quota, weight, a.Running, a.Waiting, a.QuotaWaits, a.BeyondShare)
+	}
+}
+
+// maxPrintedSteps bounds the waiting steps that status shows; --json has all that the
+// leader lists.
+const maxPrintedSteps = 20
+
+func printSteps(out io.Writer, a modeler.Status) {
+	if len(a.Steps) == 0 {
+		return
+	}
+	fmt.Fprint(out, "\nwaiting tasks of flows:")
+	for _, reason := range slices.Sorted(maps.Keys(a.Reasons)) {
+		fmt.Fprintf(out, " %d for %s", a.Reasons[reason], reason)
+	}
+	fmt.Fprintln(out, "\nREQUEST\tSTEP\tQUEUE\tACCOUNT\tTASKS\tWAITED\tFOR")
+	for _, s := range a.Steps[:min(len(a.Steps), maxPrintedSteps)] {
+		fmt.Fprintf(out, "%s\t%d\t%s\t%s\t%d\t%s\t%s\n", s.Request, s.Step, s.Queue, s.Account, s.Tasks, s.Waited.Std().Round(time.Millisecond), s.Reason)
+	}
 }
 
 func printMembers(out io.Writer, members []modeler.MemberStatus, pending bool) {
--- a/operator/waits.go
+++ b/operator/waits.go
@@ -30,6 +30,7 @@
 type FlowWait struct {
 	Request modeler.FlowID    `json:"request"`
 	Queue   modeler.QueueID   `json:"queue"`
+	Account modeler.TeamName  `json:"account,omitempty"`
 	Arrived time.Time         `json:"arrived"`
 	Tasks   int               `json:"tasks"`
 	State   modeler.FlowState `json:"state"`
@@ -39,7 +40,10 @@
 	Room   modeler.Duration `json:"room"`
 	Rest   modeler.Duration `json:"rest"`
 	Run    modeler.Duration `json:"run"`
-	Total  modeler.Duration `json:"total"`
+	// Quota is the part of Room and Rest in which steps waited for the quota of their
+	// account; the remainder is the time without room or permits.
+	Quota modeler.Duration `json:"quota"`
+	Total modeler.Duration `json:"total"`
 	// Requests counts the answers of the outside policy, Reserved the changes of its
 	// reservations, and the others the attempts that didn't end as done.
 	Requests int `json:"requests"`
@@ -53,6 +57,35 @@
 type flowTimes struct {
 	FlowWait
 	permit, first, last, end time.Time
+	steps                    map[flowStep]*quotaWait
+}
+
+// flowStep identifies a step of a flow.
+type flowStep struct {
+	occurrence modeler.Occurrence
+	step       modeler.StepIndex
+}
+
+// quotaWait is how long a step has waited for the quota of its account, by its newest
+// line, and since when it waits again.
+type quotaWait struct {
+	waited time.Duration
+	since  time.Time
+}
+
+// waitLine is what ReadWaits takes from a log line.
+type waitLine struct {
+	Message    string
+	Time       time.Time
+	Request    modeler.FlowID
+	Queue      modeler.QueueID
+	Account    modeler.TeamName
+	Tasks      int
+	State      modeler.FlowState
+	End        string
+	Occurrence modeler.Occurrence
+	Step       modeler.StepIndex
+	Capped     modeler.Duration
 }
 
 // ReadWaits reads the logs of control processes. Text before the first brace of a
@@ -68,15 +101,7 @@
 			if at < 0 {
 				continue
 			}
-			var line struct {
-				Message string
-				Time    time.Time
-				Request modeler.FlowID
-				Queue   modeler.QueueID
-				Tasks   int
-				State   modeler.FlowState
-				End     string
-			}
+			var line waitLine
 			// Lines of other events use some of the names for values of other types.
 			if err := json.Unmarshal(lines.Bytes()[at:], &line); err != nil && line.Message == "" {
 				out.Skipped++
@@ -90,11 +115,11 @@
 				if line.Message != "flow added to the scheduler" {
 					continue
 				}
-				f = &flowTimes{FlowWait: FlowWait{Request: line.Request, Queue: line.Queue, Arrived: line.Time, Tasks: line.Tasks}}
+				f = &flowTimes{FlowWait: FlowWait{Request: line.Request, Queue: line.Queue, Account: line.Account, Arrived: line.Time, Tasks: line.Tasks}, steps: make(map[flowStep]*quotaWait)}
 				flows[line.Request] = f
 			}
 			out.Lines++
-			f.count(line.Message, line.Time, line.End, line.State)
+			f.count(&line)
 		}
 		if err := lines.Err(); err != nil {
 			return out, fmt.Errorf("log: %w", err)
@@ -109,9 +134,14 @@
 	return out, nil
 }
 
-func (f *flowTimes) count(message string, at time.Time, end string, state modeler.FlowState) {
+func (f *flowTimes) count(line *waitLine) {
+	at := line.Time
 	f.end = at
-	switch message {
+	switch line.Message {
+	case "step waits for the quota of its account":
+		f.quotaWait(line).since = at
+	case "step no longer waits for the quota of its account":
+		f.quotaWait(line).since = time.Time{}
 	case "permit answer received":
 		f.Requests++
 		if f.permit.IsZero() {
@@ -122,10 +152,11 @@
 			f.first = at
 		}
 		f.last = at
+		f.quotaWait(line).since = time.Time{}
 	case "room reserved":
 		f.Reserved++
 	case "task ended":
-		switch end {
+		switch line.End {
 		case "failed":
 			f.Failed++
 		case "stopped":
@@ -134,8 +165,33 @@
 			f.Lost++
 		}
 	case "flow over":
-		f.State = state
+		f.State = line.State
+	}
+}
+
+// quotaWait returns the wait of the line's step, with the time that the line tells.
+func (f *flowTimes) quotaWait(line *waitLine) *quotaWait {
+	at := flowStep{line.Occurrence, line.Step}
+	w := f.steps[at]
+	if w == nil {
+		w = &quotaWait{}
+		f.steps[at] = w
+	}
+	w.waited = max(w.waited, line.Capped.Std())
+	return w
+}
+
+// quota returns how long steps have waited for the quota of their account. Steps that
+// wait at the same time count once each, but together no longer than the flow has waited.
+func (f *flowTimes) quota(waited time.Duration) modeler.Duration {
+	sum := time.Duration(0)
+	for _, w := range f.steps {
+		sum += w.waited
+		if !w.since.IsZero() {
+			sum += f.end.Sub(w.since)
+		}
 	}
+	return modeler.Duration(min(sum, waited))
 }
 
 // wait returns the times of the flow.
@@ -154,6 +210,7 @@
 	if f.first.IsZero() {
 		w.Room, w.Run = w.Run, 0
 	}
+	w.Quota = f.quota((w.Room + w.Rest).Std())
 	w.Total = modeler.Duration(from.Sub(w.Arrived))
 	return w
 }
@@ -165,7 +222,7 @@
 	var text strings.Builder
 	t := tabwriter.NewWriter(&text, 0, 4, 2, ' ', 0)
 	w.writeMeans(t, queue)
-	fmt.Fprintln(t, "\nREQUEST\tQUEUE\tTASKS\tPERMIT\tROOM\tREST\tRUN\tTOTAL\tREQUESTS\tRESERVED\tFAILED\tSTOPPED\tLOST\tSTATE")
+	fmt.Fprintln(t, "\nREQUEST\tQUEUE\tACCOUNT\tTASKS\tPERMIT\tROOM\tREST\tQUOTA\tRUN\tTOTAL\tREQUESTS\tRESERVED\tFAILED\tSTOPPED\tLOST\tSTATE")
 	seconds := func(d modeler.Duration) string { return fmt.Sprintf("%.2f", d.Std().Seconds()) }
 	shown, matching := 0, 0
 	for _, f := range w.Flows {
@@ -181,8 +238,8 @@
 		if state == "" {
 			state = "open"
 		}
-		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\n", f.Request, f.Queue, f.Tasks, seconds(f.Permit), seconds(f.Room),
-			seconds(f.Rest), seconds(f.Run), seconds(f.Total), f.Requests, f.Reserved, f.Failed, f.Stopped, f.Lost, state)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%s\n", f.Request, f.Queue, f.Account, f.Tasks, seconds(f.Permit), seconds(f.Room),
+			seconds(f.Rest), seconds(f.Quota), seconds(f.Run), seconds(f.Total), f.Requests, f.Reserved, f.Failed, f.Stopped, f.Lost, state)
 	}
 	_ = t.Flush() // a strings.Builder returns no error
 	fmt.Fprintf(&text, "%d of %d flows, times in seconds\n", shown, matching)
@@ -197,7 +254,7 @@
 			groups[f.Queue] = append(groups[f.Queue], f)
 		}
 	}
-	fmt.Fprintln(t, "QUEUE\tFLOWS\tPERMIT\tROOM\tREST\tRUN\tTOTAL\tREQUESTS\tFAILED\tSTOPPED\tLOST")
+	fmt.Fprintln(t, "QUEUE\tFLOWS\tPERMIT\tROOM\tREST\tQUOTA\tRUN\tTOTAL\tREQUESTS\tFAILED\tSTOPPED\tLOST")
 	for _, id := range slices.Sorted(maps.Keys(groups)) {
 		flows := groups[id]
 		mean := func(of func(FlowWait) float64) float64 {
@@ -207,9 +264,9 @@
 			}
 			return sum / float64(len(flows))
 		}
-		fmt.Fprintf(t, "%s\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.1f\t%.2f\t%.2f\t%.2f\n", id, len(flows),
+		fmt.Fprintf(t, "%s\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.1f\t%.2f\t%.2f\t%.2f\n", id, len(flows),
 			mean(func(f FlowWait) float64 { return f.Permit.Std().Seconds() }), mean(func(f FlowWait) float64 { return f.Room.Std().Seconds() }),
-			mean(func(f FlowWait) float64 { return f.Rest.Std().Seconds() }), mean(func(f FlowWait) float64 { return f.Run.Std().Seconds() }),
+			mean(func(f FlowWait) float64 { return f.Rest.Std().Seconds() }), mean(func(f FlowWait) float64 { return f.Quota.Std().Seconds() }), mean(func(f FlowWait) float64 { return f.Run.Std().Seconds() }),
 			mean(func(f FlowWait) float64 { return f.Total.Std().Seconds() }), mean(func(f FlowWait) float64 { return float64(f.Requests) }),
 			mean(func(f FlowWait) float64 { return float64(f.Failed) }), mean(func(f FlowWait) float64 { return float64(f.Stopped) }),
 			mean(func(f FlowWait) float64 { return float64(f.Lost) }))
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -245,6 +245,23 @@
 	return nil, classifier.New(classifier.NoLeader, "no leader was found in time")
 }
 
+// Status returns the leader's status of the system as a JSON document.
+func (r *Relayer) Status(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	m, err := r.client.Do(ctx, &modeler.Message{Kind: modeler.QueryMessage, Query: &modeler.Query{Kind: modeler.StatusQuery}})
+	if err != nil {
+		return nil, err
+	}
+	if m.QueryAnswer == nil {
+		return nil, classifier.New(classifier.Internal, "the leader's answer is empty")
+	}
+	if result := &m.QueryAnswer.Result; result.Kind != classifier.None {
+		return nil, classifier.New(result.Kind, "%s", result.Detail)
+	}
+	return m.QueryAnswer.Document, nil
+}
+
 // mayHaveRun reports whether a submission that was sent before may have been
 // accepted, although its repeat was refused. Other calls either change nothing, or
 // are refused only if the earlier one was refused too.
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -78,6 +78,16 @@
 	return r.metricSet.GetOrCreateHistogram(r.metricName(name, labels))
 }
 
+// AddMetrics registers a function that writes gauges at each scrape, for objects that come
+// and go. It must not block for long.
+func (r *Reporter) AddMetrics(writeAll func(write func(name string, value float64, labels ...Label))) {
+	r.metricSet.RegisterMetricsWriter(func(out io.Writer) {
+		writeAll(func(name string, value float64, labels ...Label) {
+			metrics.WriteGaugeFloat64(out, r.metricName(name, labels), value)
+		})
+	})
+}
+
 // RemoveMetric removes a metric whose object no longer exists.
 func (r *Reporter) RemoveMetric(name string, labels ...Label) {
 	r.metricSet.UnregisterMetric(r.metricName(name, labels))
