--- a/dispatcher/load_test.go
+++ b/dispatcher/load_test.go
@@ -99,6 +99,10 @@
 	f := flow(modeler.FlowID(fmt.Sprintf("f%06d", c.flows)), step(13, 7, 640*time.Millisecond))
 	f.Policy.Service = "s"
 	f.Policy.Permits = &modeler.PermitPolicy{Decision: 30 * time.Millisecond, Worker: 400 * time.Microsecond, Validity: 2500 * time.Millisecond}
+	if accounts := c.state.Layout().Accounts; len(accounts) > 0 {
+		f.Team = accounts[c.flows%len(accounts)].Team.Name
+		f.BeyondShare = c.flows%3 == 0
+	}
 	c.commit(func() { c.state.Submit(c.stamp(), &f) })
 }
 
@@ -239,6 +243,51 @@
 	}
 }
 
+// BenchmarkPlacementOfAccounts measures passes of the placement as BenchmarkPlacement does.
+// The flows belong to a number of accounts; 0 means none. With capped set, every account is
+// at its quota, so that all steps wait for it; the workers have room.
+func BenchmarkPlacementOfAccounts(b *testing.B) {
+	for _, c := range []struct {
+		workers, waiting, accounts int
+		capped                     bool
+	}{{350, 300, 0, false}, {350, 300, 20, false}, {350, 300, 20, true}, {1100, 2000, 0, false}, {1100, 2000, 320, false}, {1100, 2000, 320, true}} {
+		b.Run(fmt.Sprintf("%d-on-%d/accounts=%d/capped=%t", c.waiting, c.workers, c.accounts, c.capped), func(b *testing.B) {
+			b.ReportAllocs()
+			var cell *largeCell
+			for i := range b.N {
+				if i%passesPerCell == 0 {
+					b.StopTimer()
+					cell = newLargeCell(c.workers)
+					cell.setAccounts(c.accounts, c.capped)
+					cell.run(time.Second, 1)
+					for range c.workers*4/13 + c.waiting {
+						cell.submit()
+					}
+					cell.run(300*time.Millisecond, 1)
+					b.StartTimer()
+				}
+				cell.now = cell.now.Add(25 * time.Millisecond)
+				cell.leader.Tick(cell.now, cell.stamp())
+				cell.leader.Output(cell.now)
+			}
+		})
+	}
+}
+
+// setAccounts puts accounts in force, one for each of the next flows in turn. A capped
+// account may run 2 tasks.
+func (c *largeCell) setAccounts(count int, capped bool) {
+	layout := modeler.Layout{Number: 1, Keyed: true}
+	for i := range count {
+		a := account(modeler.TeamName(fmt.Sprintf("a%03d", i)), 100_000)
+		if capped {
+			a.Team.Quota.Processors = 14_000
+		}
+		layout.Accounts = append(layout.Accounts, a)
+	}
+	c.commit(func() { c.state.SetLayout(&layout) })
+}
+
 // passesPerCell is how many passes a cell is used for: within them no lease expires
 // and no worker falls silent.
 const passesPerCell = 20
