dispatcher: learned speeds without a fixed range

The estimate of a worker's speed was cut to 0.67 to 1.5, a worker beyond that was taken for faulty, and the learned run times of a queue moved with the workers that it used.

The dispatcher uses package profiler, with a worker's first label as its kind. Remaining times, reservations and slow runs expect the run time on the worker in question; run times are learned relative to its speed, and an error of more than three standard deviations counts as three. Stats lists the speeds that differ most.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -6,6 +6,7 @@
 
 	"goldcreststack.example/goldcreststack/accountant"
 	"goldcreststack.example/goldcreststack/modeler"
+	"goldcreststack.example/goldcreststack/profiler"
 	"goldcreststack.example/goldcreststack/sequencer"
 )
 
@@ -87,6 +88,10 @@
 	// although its objective is missed.
 	lateBeyondShare map[modeler.QueueID]bool
 	services        map[modeler.ServiceName]*serviceHealth
+	// profiler estimates the speeds of the workers; measuredSteps holds the steps with
+	// runs that it learns from at the next tick.
+	profiler      *profiler.Profiler
+	measuredSteps []*unit
 	// slowdownRange covers the queues of all flows seen so far.
 	slowdownRange slowdownRange
 	out           Output
@@ -155,6 +160,7 @@
 		changed:       true,
 		senders:       1,
 		heldBack:      make(map[modeler.FlowTask]*host),
+		profiler:      profiler.New(),
 
 		ledger:          accountant.NewLedger(settings.QuotaOverage),
 		blockedAccounts: make(map[*accountant.Account]bool),
@@ -225,6 +231,7 @@
 		d.tickHost(now, h)
 	}
 	d.copyTasksOfUnanswered(now)
+	d.learnSpeeds()
 	d.updateReadiness(now)
 	d.updateTimeliness()
 	d.updateLateBeyondShare()
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"goldcreststack.example/goldcreststack/modeler"
+	"goldcreststack.example/goldcreststack/profiler"
 )
 
 const (
@@ -133,8 +134,8 @@
 	health
 	// openPermitRequests counts the open permit requests that name the worker.
 	openPermitRequests int
-	// speed is the worker's estimated speed.
-	speed speed
+	// speed is what is known of the worker's speed.
+	speed *profiler.Worker
 	// slowSeenAt holds when each slow task on the worker was last seen to be slow,
 	// and slowedDown whether that task was faster before.
 	slowSeenAt map[modeler.FlowTask]modeler.ClockReading
@@ -204,6 +205,7 @@
 		heardAt:     now,
 		announcedAt: now,
 		renewAt:     now,
+		speed:       d.profiler.AddWorker(kindOf(&m)),
 	}
 	if m.Leaving {
 		h.leaveAt = now.Add(m.Remaining)
@@ -231,6 +233,7 @@
 		return
 	}
 	delete(d.hosts, id)
+	d.profiler.RemoveWorker(h.speed)
 	d.hostList = slices.DeleteFunc(d.hostList, func(other *host) bool { return other == h })
 	d.setAddress(h, h.worker.Address, "")
 }
--- a/dispatcher/reserve.go
+++ b/dispatcher/reserve.go
@@ -127,7 +127,7 @@
 	if u.policy.Priority > v.unit.policy.Priority && u.step.Checkpoints && !u.step.Backfill && v.from >= now.Add(minBackfillTime) {
 		return true
 	}
-	return u.step.Estimate > 0 && now.Add(u.longestLikelyRuntime()) <= v.from
+	return u.step.Estimate > 0 && now.Add(u.longestLikelyRuntimeOn(v.host)) <= v.from
 }
 
 // reserve plans the room for the waiting tasks of a step, keeps it from less
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -562,7 +562,7 @@
 	if step.Gang || step.Backfill {
 		return false
 	}
-	return now.Sub(r.progressAt) > stallAfter+r.unit.expectedRuntime()/20
+	return now.Sub(r.progressAt) > stallAfter+r.unit.expectedRuntimeOn(r.host)/20
 }
 
 // handleEnded applies a committed end.
--- a/dispatcher/runtime.go
+++ b/dispatcher/runtime.go
@@ -20,6 +20,12 @@
 	// initialDeviation is the assumed standard deviation of log(run time / expected
 	// run time) before any task of the queue has ended: a factor of 1.6.
 	initialDeviation = 0.5
+	// minDeviation is the least standard deviation that a queue is assumed to have: few
+	// run times show it only roughly, and progress is reported in whole percent.
+	minDeviation = 0.25
+	// maxMiss is the number of standard deviations to which the error of a prediction is
+	// cut, so that single runs that take several times as long count little.
+	maxMiss = 3
 )
 
 // runtimes predicts the run times of a queue's tasks from the estimates of callers
@@ -59,7 +65,9 @@
 // add learns the run time of a task. Tasks of one step share an estimate, so each of
 // them has a weight below 1.
 func (t *runtimes) add(estimate, runtime, weight float64) {
-	miss := runtime - t.predict(estimate)
+	expected, limit := t.predict(estimate), maxMiss*t.deviation()
+	miss := max(-limit, min(runtime-expected, limit))
+	runtime = expected + miss
 	t.samples = min(t.samples+weight, maxSamples)
 	rate := weight / t.samples
 	t.squares += weight / (t.samples + priorSamples) * (miss*miss - t.squares)
@@ -76,8 +84,8 @@
 // expOf returns the time of a logarithm of seconds.
 func expOf(x float64) time.Duration { return time.Duration(math.Exp(x) * float64(time.Second)) }
 
-// predictedLog returns the expected logarithm of the run time of a task of the step,
-// from its queue and from those of its tasks that are done.
+// predictedLog returns the expected logarithm of the run time of a task of the step on a
+// worker of the usual speed, from its queue and from those of its tasks that are done.
 func (u *unit) predictedLog() float64 {
 	if !u.dispatcher.uses(Runtimes) {
 		return logOf(u.step.Estimate)
@@ -87,8 +95,8 @@
 	return (usual + weight*u.doneRuntime) / (1 + weight)
 }
 
-// expectedRuntime returns how long a task of the step is likely to run, or 0 if
-// its caller gave no estimate.
+// expectedRuntime returns how long a task of the step is likely to run on a worker of the
+// usual speed, or 0 if its caller gave no estimate.
 func (u *unit) expectedRuntime() time.Duration {
 	if u.step.Estimate <= 0 {
 		return 0
@@ -96,21 +104,49 @@
 	return expOf(u.predictedLog())
 }
 
-// longestLikelyRuntime returns how long a task of the step runs at most in about
-// five of six cases.
-func (u *unit) longestLikelyRuntime() time.Duration {
-	return expOf(u.predictedLog() + u.dispatcher.queue(u.flow.Spec.Queue).runtimes.deviation())
+// expectedRuntimeOn returns how long a task of the step is likely to run on a worker, or
+// 0 if its caller gave no estimate.
+func (u *unit) expectedRuntimeOn(h *host) time.Duration {
+	if u.step.Estimate <= 0 {
+		return 0
+	}
+	return expOf(u.predictedLogOn(h))
+}
+
+// longestLikelyRuntimeOn returns how long a task of the step runs on a worker at most in
+// about five of six cases.
+func (u *unit) longestLikelyRuntimeOn(h *host) time.Duration {
+	return expOf(u.predictedLogOn(h) + u.deviationOn(h))
+}
+
+// predictedLogOn returns the expected logarithm of the run time of a task of the step on
+// a worker. How fast a gang runs doesn't depend on a single worker.
+func (u *unit) predictedLogOn(h *host) float64 {
+	if u.step.Gang {
+		return u.predictedLog()
+	}
+	return u.predictedLog() + h.speed.Slowness()
+}
+
+// deviationOn returns the standard deviation of the logarithm of a run time on a worker
+// from its prediction.
+func (u *unit) deviationOn(h *host) float64 {
+	return math.Hypot(u.dispatcher.queue(u.flow.Spec.Queue).runtimes.deviation(), h.speed.Deviation())
 }
 
 // learnRuntime learns from the run time of a completed task: for its queue, its
-// step and the speed of its worker.
+// step and the speed of its worker. What is learned for the queue and the step is relative
+// to the speed of the worker, so that it doesn't depend on which workers they use.
 func (d *Dispatcher) learnRuntime(u *unit, r *run, took time.Duration) {
 	if u.step.Estimate <= 0 || u.step.LongRunning || u.step.Backfill || r.attempt > 1 {
 		return
 	}
 	q := d.queue(u.flow.Spec.Queue)
 	estimate, runtime := logOf(u.step.Estimate), logOf(took)
-	r.host.speed.addSample(runtime-u.predictedLog(), q.runtimes.squares)
+	if !u.step.Gang {
+		d.measureRun(u, r, runtime, q.runtimes.predict(estimate))
+		runtime -= r.host.speed.Slowness()
+	}
 	q.runtimes.add(estimate, runtime, 1/math.Sqrt(float64(u.step.Count)))
 	q.learned++
 	u.doneTasks++
--- a/dispatcher/slow.go
+++ b/dispatcher/slow.go
@@ -7,8 +7,6 @@
 )
 
 const (
-	// minDeviation covers the speeds of workers, which range from 0.8 to 1.25.
-	minDeviation = 0.25
 	// slowDeviations is the number of standard deviations from which a task counts
 	// as slow: about one normal task in 1000.
 	slowDeviations = 3
@@ -52,8 +50,7 @@
 		return
 	}
 	projected := elapsed + rest
-	q := d.queue(r.unit.flow.Spec.Queue)
-	if logOf(projected) < r.unit.predictedLog()+slowDeviations*q.runtimes.deviation() {
+	if logOf(projected) < r.unit.predictedLogOn(h)+slowDeviations*r.unit.deviationOn(h) {
 		return
 	}
 	// Tasks of one step share the error of their estimate, so tasks of a single
--- a/dispatcher/speed.go
+++ b/dispatcher/speed.go
@@ -4,20 +4,13 @@
 	"math"
 
 	"goldcreststack.example/goldcreststack/modeler"
+	"goldcreststack.example/goldcreststack/profiler"
 )
 
 const (
-	// speedPriorWeight is the weight of the assumption that a worker has the usual
-	// speed. It equals the weight of 8 tasks whose run time is known within a
-	// third.
-	speedPriorWeight = 80.0
-	// maxSpeedWeight bounds the weight of earlier tasks, so that newer tasks
-	// replace them.
-	maxSpeedWeight = 400.0
-	// maxSlowness bounds the slowness computed from one task, and thereby that of a
-	// worker. Speeds differ by a quarter between normal workers, and checkProgress
-	// handles faulty ones.
-	maxSlowness = 0.4
+	// maxMeasured is the number of runs of a step after which the profiler learns from
+	// them. It learns from fewer once the step is done.
+	maxMeasured = 32
 	// speedScoreWeight is the weight of a worker's slowness in its score, relative
 	// to its free share of processors, a number from 0 to 1.
 	speedScoreWeight = 4.0
@@ -26,28 +19,40 @@
 	speedRatingWeight = 4.0
 )
 
-// speed is the estimated speed of a worker: the weighted sum of log(run time /
-// expected run time) and the sum of the weights.
-type speed struct {
-	sum    float64
-	weight float64
+// kindOf returns the kind of a worker, which is its first label.
+func kindOf(m *modeler.WorkerAnnouncement) profiler.Kind {
+	if len(m.Labels) == 0 {
+		return ""
+	}
+	return profiler.Kind(m.Labels[0])
 }
 
-// addSample adds the deviation of one task, weighted by the variance of its
-// queue.
-func (s *speed) addSample(deviation, variance float64) {
-	w := 1 / max(variance, minDeviation*minDeviation)
-	s.sum += w * max(-maxSlowness, min(deviation, maxSlowness))
-	s.weight += w
-	if s.weight > maxSpeedWeight {
-		s.sum *= maxSpeedWeight / s.weight
-		s.weight = maxSpeedWeight
+// measureRun keeps the run time of a completed task for the profiler, which compares it
+// with those of the step's other tasks.
+func (d *Dispatcher) measureRun(u *unit, r *run, runtime, expected float64) {
+	if len(u.measured) == 0 {
+		u.baseLog = expected
+	}
+	u.measured = append(u.measured, profiler.Run{Worker: r.host.speed, Deviation: runtime - u.baseLog})
+	if len(u.measured) == 1 {
+		d.measuredSteps = append(d.measuredSteps, u)
 	}
 }
 
-// slowness returns the estimate of log(run time / expected run time) for tasks
-// on the worker. It is 0 until a task has ended.
-func (s *speed) slowness() float64 { return s.sum / (speedPriorWeight + s.weight) }
+// learnSpeeds lets the profiler learn from the steps that are done, or have many runs.
+func (d *Dispatcher) learnSpeeds() {
+	rest := d.measuredSteps[:0]
+	for _, u := range d.measuredSteps {
+		if !u.dropped && len(u.measured) < maxMeasured && !u.flow.StepDone(u.key) {
+			rest = append(rest, u)
+			continue
+		}
+		d.profiler.Learn(u.flow.Spec.Queue, u.measured)
+		u.measured = nil
+	}
+	clear(d.measuredSteps[len(rest):])
+	d.measuredSteps = rest
+}
 
 // slowdownRange is the range of the slowdown objectives of all queues.
 type slowdownRange struct{ lowest, highest float64 }
@@ -80,12 +85,12 @@
 	if !d.uses(Speed) {
 		return 0
 	}
-	return speedScoreWeight * d.slowdownRange.speedPreference(u) * h.speed.slowness()
+	return speedScoreWeight * d.slowdownRange.speedPreference(u) * h.speed.Slowness()
 }
 
 // rating rates a worker that can take the given number of tasks for a permit
 // request. Open permit requests that name the worker lower the rating, since
 // their steps are likely to use some of its capacity.
 func (d *Dispatcher) rating(u *unit, h *host, tasks int) float64 {
-	return float64(tasks) / float64(1+h.openPermitRequests) * math.Exp(-speedRatingWeight*d.slowdownRange.speedPreference(u)*h.speed.slowness())
+	return float64(tasks) / float64(1+h.openPermitRequests) * math.Exp(-speedRatingWeight*d.slowdownRange.speedPreference(u)*h.speed.Slowness())
 }
--- a/dispatcher/stats.go
+++ b/dispatcher/stats.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"goldcreststack.example/goldcreststack/accountant"
@@ -31,6 +32,29 @@
 	// Accounts lists the client accounts, those with the most processors running first.
 	Accounts []AccountUse `json:"accounts,omitempty"`
 	Idle     []IdleWorker `json:"idle,omitempty"`
+	// Speeds lists the workers whose speeds differ most from the usual one.
+	Speeds []WorkerSpeed `json:"speeds,omitempty"`
+}
+
+// WorkerSpeed is the learned speed of a worker relative to the cell's usual one.
+type WorkerSpeed struct {
+	Worker modeler.WorkerID `json:"worker"`
+	Speed  float64          `json:"speed"`
+	// Deviation is the standard deviation of the logarithm of the speed.
+	Deviation float64 `json:"deviation"`
+}
+
+// speeds returns the workers whose learned speeds differ most from the usual one.
+func (d *Dispatcher) speeds() []WorkerSpeed {
+	hosts := slices.Clone(d.hostList)
+	slices.SortFunc(hosts, func(a, b *host) int {
+		return cmp.Or(cmp.Compare(math.Abs(b.speed.Slowness()), math.Abs(a.speed.Slowness())), cmp.Compare(a.worker.ID, b.worker.ID))
+	})
+	var out []WorkerSpeed
+	for _, h := range hosts[:min(len(hosts), maxStatsEntries)] {
+		out = append(out, WorkerSpeed{Worker: h.worker.ID, Speed: math.Exp(-h.speed.Slowness()), Deviation: h.speed.Deviation()})
+	}
+	return out
 }
 
 // WaitingStep is a step with tasks that wait for workers.
@@ -156,6 +180,7 @@
 	slices.SortFunc(s.Idle, func(a, b IdleWorker) int { return cmp.Compare(a.Worker, b.Worker) })
 	s.Idle = s.Idle[:min(len(s.Idle), maxStatsEntries)]
 	s.Accounts = d.accountUses()
+	s.Speeds = d.speeds()
 	for _, u := range d.sortedUnits {
 		if !u.ready || u.waiting.len() == 0 {
 			continue
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -7,6 +7,7 @@
 
 	"goldcreststack.example/goldcreststack/accountant"
 	"goldcreststack.example/goldcreststack/modeler"
+	"goldcreststack.example/goldcreststack/profiler"
 	"goldcreststack.example/goldcreststack/sequencer"
 )
 
@@ -70,9 +71,13 @@
 	// placeRound is the round of placement in which the unit was last tried.
 	placeRound uint64
 	// doneTasks counts the completed tasks of the step, and doneRuntime is the mean
-	// logarithm of their run times.
+	// logarithm of their run times, relative to the speeds of their workers.
 	doneTasks   int
 	doneRuntime float64
+	// measured holds the runs of the step that the profiler has not learned from, and
+	// baseLog is the logarithm of the run time that they are compared with.
+	measured []profiler.Run
+	baseLog  float64
 	// learned is the count of the queue's run times that the deadlines rest on.
 	learned int
 	// account is the one that the flow belongs to, or nil. waitsForQuota means that the
@@ -412,5 +417,5 @@
 		rest := took*time.Duration(100-r.percent)/time.Duration(r.percent) - now.Sub(r.progressAt)
 		return max(rest, 0)
 	}
-	return max(r.unit.expectedRuntime()-now.Sub(r.startedAt), 0)
+	return max(r.unit.expectedRuntimeOn(r.host)-now.Sub(r.startedAt), 0)
 }
--- a/profiler/profiler.go
+++ b/profiler/profiler.go
@@ -20,10 +20,12 @@
 	// maxWeight bounds the weight of earlier observations of a queue, so that newer ones
 	// replace them.
 	maxWeight = 200.0
-	// refreshInterval is the number of runs after which the spread of the cell is
-	// estimated anew. In cells with more workers it is one run a worker, since each
-	// estimate visits them all.
-	refreshInterval = 32
+	// The spread of the cell is estimated anew after minRefresh runs, or one a worker,
+	// and later after one part in refreshDivisor of all runs up to refreshRuns a worker,
+	// since each estimate visits all workers.
+	minRefresh     = 32
+	refreshDivisor = 8
+	refreshRuns    = 4
 )
 
 // Profiler estimates the speeds of the workers of a cell. The spread of the cell's
@@ -35,8 +37,8 @@
 	spread  spread
 	// center is the mean slowness of the workers.
 	center float64
-	// pending counts the observations since the last refresh.
-	pending int
+	// runs counts the runs so far, and pending those since the last refresh.
+	runs, pending int
 }
 
 // queue is what is known of the run times of a queue.
@@ -101,14 +103,17 @@
 	learnStepVariance(q, common)
 	for i, r := range runs {
 		rest := common.without(i)
-		s := sample{value: r.Deviation - rest.mean, variance: noise + rest.variance}
+		s := newSample(r.Deviation-rest.mean, noise+rest.variance)
 		learnNoise(q, r.Worker, s.value, rest.variance)
 		r.Worker.add(s)
-		r.Worker.weigh(p.spread.prior(r.Worker.kind))
-		p.update(r.Worker)
+		if r.Worker.isDue() {
+			r.Worker.weigh(p.spread.prior(r.Worker.kind))
+			p.update(r.Worker)
+		}
 	}
+	p.runs += len(runs)
 	p.pending += len(runs)
-	if p.pending >= max(refreshInterval, len(p.workers)) {
+	if p.pending >= max(min(p.runs/refreshDivisor, refreshRuns*len(p.workers)), len(p.workers), minRefresh) {
 		p.refresh()
 	}
 }
@@ -134,8 +139,8 @@
 	median := medianOf(slices.Clone(out.values), total)
 	for i := range out.values {
 		v := &out.values[i]
-		belief := reliability(v.value-median, 1/v.weight)
-		v.weight *= belief
+		s := newSample(v.value, 1/v.weight)
+		v.weight *= s.reliability(median)
 		out.sum += v.weight * v.value
 		out.weight += v.weight
 	}
@@ -164,8 +169,8 @@
 	}
 	distance := value - w.mean
 	known += w.variance
-	belief := reliability(distance, q.noise.mean+known)
-	q.noise.add(max(distance*distance-known, 0), belief)
+	s := newSample(value, q.noise.mean+known)
+	q.noise.add(max(distance*distance-known, 0), s.reliability(w.mean))
 }
 
 // update updates the estimate of a worker.
--- a/profiler/worker.go
+++ b/profiler/worker.go
@@ -25,6 +25,9 @@
 	maxSteps = 8
 	// settled is the change of a robust mean below which it counts as final.
 	settled = 1e-3
+	// freshDivisor sets when a worker's estimate is made anew: when one part in
+	// freshDivisor of the samples is not covered.
+	freshDivisor = 16
 	// minBelief is the least weight of a sample, so that a mean of outliers alone exists.
 	minBelief = 1e-6
 )
@@ -37,6 +40,8 @@
 type Worker struct {
 	kind    Kind
 	samples []sample
+	// fresh counts the samples that the estimate doesn't cover.
+	fresh int
 	// count is the number of samples so far, including those of a restored Record.
 	count int
 	// mean is the robust mean of the samples alone, and variance its variance.
@@ -50,7 +55,27 @@
 
 // sample is the logarithm of one run time relative to the expected one, with its
 // variance.
-type sample struct{ value, variance float64 }
+type sample struct {
+	value, variance float64
+	// odds are those of an outlier at distance 0, and growth is the factor of the square
+	// of the distance in the exponent by which they grow.
+	odds, growth float64
+}
+
+func newSample(value, variance float64) sample {
+	return sample{
+		value: value, variance: variance,
+		odds:   outlierShare / (1 - outlierShare) * math.Sqrt(variance/(variance+outlierVariance)),
+		growth: (1/variance - 1/(variance+outlierVariance)) / 2,
+	}
+}
+
+// reliability returns the probability that a sample is not an outlier, if mean is the
+// slowness of its worker.
+func (s *sample) reliability(mean float64) float64 {
+	distance := s.value - mean
+	return max(1/(1+s.odds*math.Exp(distance*distance*s.growth)), minBelief)
+}
 
 // Slowness returns the estimate of log(run time / expected run time) of tasks on the
 // worker; it is negative for fast ones. The mean over the workers of the cell is 0.
@@ -67,9 +92,13 @@
 	}
 	w.samples = append(w.samples, s)
 	w.count++
-	w.mean, w.variance = w.sampleMean()
+	w.fresh++
 }
 
+// isDue reports whether the estimate is to be made anew: after each of the first samples,
+// and then after a few.
+func (w *Worker) isDue() bool { return w.fresh*freshDivisor >= len(w.samples) }
+
 // sampleMean returns the robust mean of the samples and its variance.
 func (w *Worker) sampleMean() (float64, float64) {
 	flat := distribution{variance: math.Inf(1)}
@@ -128,8 +157,7 @@
 		age := 1.0
 		for i := len(w.samples) - 1; i >= 0; i-- {
 			s := &w.samples[i]
-			usual, unusual := likelihoods(s.value-out.mean, s.variance)
-			weight := age / s.variance * max(usual/(usual+unusual), minBelief)
+			weight := age / s.variance * s.reliability(out.mean)
 			out.sum += weight * s.value
 			out.weight += weight
 			age *= decay
@@ -150,25 +178,15 @@
 	age := 1.0
 	for i := len(w.samples) - 1; i >= 0; i-- {
 		s := &w.samples[i]
-		usual, unusual := likelihoods(s.value-slowness, s.variance)
+		distance := s.value - slowness
+		usual := (1 - outlierShare) * density(distance, s.variance)
+		unusual := outlierShare * density(distance, s.variance+outlierVariance)
 		out += age * math.Log(usual+unusual+math.SmallestNonzeroFloat64)
 		age *= decay
 	}
 	return out
 }
 
-// likelihoods returns the likelihoods of a run time, by its distance from the expected
-// one, if it tells about its worker and if it is an outlier. They lack a common factor.
-func likelihoods(distance, variance float64) (usual, unusual float64) {
-	return (1 - outlierShare) * density(distance, variance), outlierShare * density(distance, variance+outlierVariance)
-}
-
-// reliability returns the probability that a run time is not an outlier.
-func reliability(distance, variance float64) float64 {
-	usual, unusual := likelihoods(distance, variance)
-	return max(usual/(usual+unusual), minBelief)
-}
-
 // density returns the density of a normal distribution but for a constant factor.
 func density(distance, variance float64) float64 {
 	return math.Exp(-distance*distance/(2*variance)) / math.Sqrt(variance)
@@ -183,6 +201,10 @@
 	if len(w.samples) == 0 {
 		return
 	}
+	if w.fresh > 0 {
+		w.mean, w.variance = w.sampleMean()
+		w.fresh = 0
+	}
 	best := w.fit(prior, w.mean)
 	other := w.fit(prior, prior.mean)
 	if math.Abs(best.mean-other.mean) > 2*settled && w.likelihood(prior, other.mean) > w.likelihood(prior, best.mean) {
