soaker: the limit for tasks that last begins anew after a delay by the machine, like all others

Cause: beside 6 busy loops two soaks of TestSoakMass reported tasks that last as not back. Their logs show the tasks placed 1.3 s before, in an entry that waited for a sync; the machine delayed syncs by up to 4.4 s. The check passed what was left of its 9 s to expectWithin, so that each delay added only that rest instead of the whole limit (isOver). Change: the limit begins at the last fault and is passed whole; without delays it ends at the same moment as before.

--- a/soaker/mass.go
+++ b/soaker/mass.go
@@ -83,7 +83,7 @@
 func (w *world) endLasting(ids []string) {
 	client := w.newClient(answerTimeout)
 	for _, id := range ids {
-		w.expectWithin(lastingLimit-min(time.Since(w.faultsEnded), lastingLimit), "not all tasks of job "+id+", which last, run again", func() bool {
+		w.expectSince(w.faultsEnded, lastingLimit, "not all tasks of job "+id+", which last, run again", func() bool {
 			return w.check.allRun(id)
 		})
 		for begun := time.Now(); !w.isOver(begun, settleTime); w.sleep(100 * time.Millisecond) {
--- a/soaker/recovery.go
+++ b/soaker/recovery.go
@@ -175,7 +175,12 @@
 // expectWithin polls until the condition holds, and records the failure if it
 // doesn't within the limit.
 func (w *world) expectWithin(limit time.Duration, failure string, holds func() bool) {
-	for begun := time.Now(); !holds(); w.sleep(100 * time.Millisecond) {
+	w.expectSince(time.Now(), limit, failure, holds)
+}
+
+// expectSince is expectWithin with a limit that began at the given time.
+func (w *world) expectSince(begun time.Time, limit time.Duration, failure string, holds func() bool) {
+	for ; !holds(); w.sleep(100 * time.Millisecond) {
 		if w.ctx.Err() != nil {
 			return
 		}
