soaker: runs with accounts show that keys were refused

Cause: a check that sees no refused key shows nothing. Change: the report counts answers 401, some in each run with accounts and none in others.

--- a/soaker/account.go
+++ b/soaker/account.go
@@ -228,6 +228,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	isSuccess := status >= 200 && status < 300
+	if status == http.StatusUnauthorized {
+		c.refusedKeys++
+	}
 	k := given.key
 	switch {
 	case c.accounts == nil || status == 0:
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -49,6 +49,8 @@
 	// failures counts the attempts of each task that have failed.
 	failures map[string]int
 	starts   int
+	// refusedKeys counts the calls that got status 401.
+	refusedKeys int
 	// violations lists the broken promises.
 	violations []string
 	versions   []acknowledgement
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -174,15 +174,17 @@
 
 // runSeed runs the soak with one seed and fails the test for each broken promise.
 func (k *soak) runSeed(t *testing.T, faults extent, length time.Duration, s uint64) {
+	hasAccounts := k.accounts || k.chosen && *accounts && s%2 == 1
 	report, err := soaker.Run(t.Context(), soaker.Settings{
 		Seed: s, Length: length, Binary: k.binary, Folder: testFolder(t),
 		Control: k.control, Entries: *entries, Workers: *workers,
 		Replace: faults >= replacing, Overlap: faults >= overlapping, Mass: faults == massive || *mass,
-		Return: faults == returning || *returns, Accounts: k.accounts || k.chosen && *accounts && s%2 == 1,
+		Return: faults == returning || *returns, Accounts: hasAccounts,
 	})
 	assert.NilError(t, err)
-	t.Logf("seed %d: %d jobs, %d starts, %d faults", s, report.Jobs, report.Starts, len(report.Faults))
+	t.Logf("seed %d: %d jobs, %d starts, %d calls with status 401, %d faults", s, report.Jobs, report.Starts, report.RefusedKeys, len(report.Faults))
 	assert.Check(t, report.Starts > 0, "no task was started")
+	assert.Check(t, hasAccounts == (report.RefusedKeys > 0), "%d calls got status 401", report.RefusedKeys)
 	for _, line := range report.Faults {
 		t.Log(line)
 	}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -57,7 +57,9 @@
 type Report struct {
 	Jobs   int
 	Starts int
-	Faults []string
+	// RefusedKeys counts the calls that got status 401.
+	RefusedKeys int
+	Faults      []string
 	// Violations lists the broken promises, each with its time.
 	Violations []string
 }
@@ -190,7 +192,7 @@
 	watcher.Wait()
 	w.check.mu.Lock()
 	defer w.check.mu.Unlock()
-	return Report{Jobs: len(w.check.jobs), Starts: w.check.starts, Faults: w.faults, Violations: w.check.violations}, nil
+	return Report{Jobs: len(w.check.jobs), Starts: w.check.starts, RefusedKeys: w.check.refusedKeys, Faults: w.faults, Violations: w.check.violations}, nil
 }
 
 // injectAllFaults injects temporary faults for the given time and, if the settings
