Room is kept and freed only for tasks that their account's quota admits

A step with 12 waiting tasks whose quota admits 2 had 12 of 16 attempts of another account stopped for it. Plans of room now end at the quota. TestQuotaBoundsPreemption failed before (4 of 16 attempts left, 14 expected) and passes.

--- a/accountant/ledger.go
+++ b/accountant/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"goldcreststack.example/goldcreststack/modeler"
@@ -175,6 +176,21 @@
 		a.IsHardlyUsed() && a.fits(need, members-1, a.quotaWithOverage())
 }
 
+// TasksWithin returns how many tasks fit into what is left of the quota.
+func (a *Account) TasksWithin(need modeler.Resources) int {
+	n := int64(math.MaxInt32)
+	for _, part := range [][3]int64{
+		{int64(a.used.Processors), int64(need.Processors), int64(a.Team.Quota.Processors)},
+		{int64(a.used.Memory), int64(need.Memory), int64(a.Team.Quota.Memory)},
+		{int64(a.used.Accelerators), int64(need.Accelerators), int64(a.Team.Quota.Accelerators)},
+	} {
+		if used, need, quota := part[0], part[1], part[2]; need > 0 {
+			n = min(n, max(quota-used, 0)/need)
+		}
+	}
+	return int(n)
+}
+
 // fits reports whether a number of tasks fit into the quota beside what is in use. A
 // quota that is exceeded in what the tasks don't need, such as accelerators, doesn't keep
 // them from starting.
--- a/dispatcher/account.go
+++ b/dispatcher/account.go
@@ -78,6 +78,16 @@
 	return a.AdmitsTask(step.Need)
 }
 
+// startableTasks returns how many waiting tasks of a step its account's quota admits now,
+// at least the next one. Room is neither kept nor freed for more of them.
+func startableTasks(u *unit) int {
+	n := u.waiting.len()
+	if u.account == nil || u.step.Gang {
+		return n
+	}
+	return min(n, max(u.account.TasksWithin(u.step.Need), 1))
+}
+
 // maxQuotaLines bounds the log lines about one step that begins to wait for its quota:
 // a step with many tasks at its quota does so with each of them.
 const maxQuotaLines = 3
--- a/dispatcher/account_test.go
+++ b/dispatcher/account_test.go
@@ -164,6 +164,28 @@
 	assert.Equal(t, uses[20].Waiting, 10*11/2)
 }
 
+// Guards against tasks of others that are stopped, and room that is kept, for tasks that the
+// quota of their account doesn't admit.
+func TestQuotaBoundsPreemption(t *testing.T) {
+	r := newRig(t, 3)
+	r.addWorkers(4, 8)
+	r.setAccounts(account("a", 4), account("b", 1000))
+	batch := flow("batch", step(16, 2, 30*time.Second))
+	batch.Steps[0].Checkpoints, batch.Policy.Priority = true, 2
+	r.submitFor("b", false, batch)
+	r.run(3 * time.Second)
+	urgent := flow("urgent", step(12, 2, 10*time.Second))
+	urgent.Policy = modeler.QueuePolicy{Slowdown: 9, Latency: time.Second}
+	r.submitFor("a", false, urgent)
+	least := 16
+	for range 100 {
+		r.run(2 * tick)
+		least = min(least, r.usedBy("b").Running)
+	}
+	assert.Equal(t, r.usedBy("a").Running, 2)
+	assert.Equal(t, least, 14)
+}
+
 // Guards against a gang that starves behind smaller steps of its account, one that
 // exceeds the quota by more than its overage and a task, and one that waits for ever
 // instead of being refused.
--- a/dispatcher/reserve.go
+++ b/dispatcher/reserve.go
@@ -171,7 +171,7 @@
 	for _, h := range d.permittedHosts(now, u) {
 		openings = append(openings, d.openingsOn(now, u, h, earlier)...)
 	}
-	missing := u.waiting.len()
+	missing := startableTasks(u)
 	if u.step.Gang {
 		room := 0
 		for _, o := range openings {
@@ -284,7 +284,7 @@
 			room = room.Sub(v.room)
 		}
 	}
-	most := u.waiting.len()
+	most := startableTasks(u)
 	if u.step.PerWorker > 0 {
 		most = min(most, u.step.PerWorker-u.runsOn[h.worker.ID])
 	}
