soaker: the body of a job with bad credentials is its own

Cause: failed with tasks "with another spec": the caller with bad credentials built the body before it drew the id of a new job. With a key that was revoked less than 5 s before, the job may be accepted, and ran with the spec of another one. A fault of the soak, not of the product.

--- a/soaker/account.go
+++ b/soaker/account.go
@@ -290,10 +290,10 @@
 		method := []string{http.MethodPost, http.MethodGet, http.MethodDelete}[rand.IntN(3)]
 		body := ""
 		if method == http.MethodPost {
-			body = w.jobBody(id)
 			if !isForeign && rand.IntN(2) == 0 {
 				id = w.newBadJob(given)
 			}
+			body = w.jobBody(id)
 		}
 		w.check.noteCancel(method, id, given)
 		status, _ := w.call(client, given, method, w.randomEntry(), id, body)
