evaluator: pools with accounts, worker sizes, steps, tails and the leader's time

Cause: `measure pool` had one worker size, flows of one step and a leader that is never behind, so it could not show what a fast outside policy does to a cell like that of site A.

Change: worker sizes, accounts with weights and quotas, flows of several steps, a tail of slow attempts, long-running flows and the processor time of the leader for a message. The slow requests leave links free as in the controller, by one function in dispatcher. The bound tries several flows at a time.

--- a/cmd/goldcreststack/measure.go
+++ b/cmd/goldcreststack/measure.go
@@ -58,10 +58,16 @@
 		Short: "Run random days of one pool with and without each scheduling decision",
 		Long: "Pool reads the workers and the load of a pool from a file and runs the same random days with the leader's\n" +
 			"decisions and without each of them. It prints the share of the worth that callers get, by queue and over the\n" +
-			"day, and a bound that no policy can exceed.",
-		Example: "  goldcreststack measure pool\n  goldcreststack measure pool --file pool.json --seeds 5 --json",
+			"day, the time until the first task and the permit requests of a flow, and a bound that no policy can exceed.",
+		Example: "  goldcreststack measure pool\n  goldcreststack measure pool --file pool.json --seeds 5 --json\n" +
+			"  goldcreststack measure pool --without headroom --decision 5ms --perworker 50us",
 	}
+	var without []string
+	var decision, worker time.Duration
 	f := cmd.Flags()
+	f.StringSliceVar(&without, "without", nil, "measure only all decisions, and all without each of these")
+	f.DurationVar(&decision, "decision", 0, "time of the outside policy for a request, instead of that in the file")
+	f.DurationVar(&worker, "perworker", 0, "its time for each worker named, with --decision")
 	f.StringVar(&file, "file", file, "JSON file with the pool and its load")
 	f.IntVar(&seeds, "seeds", seeds, "number of days, each with a seed of its own")
 	return measureCommand(cmd, func() (measurement, error) {
@@ -69,7 +75,14 @@
 		if err != nil {
 			return nil, err
 		}
-		return evaluator.MeasurePool(file, s, evaluator.PoolPolicies(), seeds)
+		if decision > 0 {
+			s.SetPermitTime(decision, worker)
+		}
+		policies, err := evaluator.PoolPolicies(without)
+		if err != nil {
+			return nil, err
+		}
+		return evaluator.MeasurePool(file, s, policies, seeds)
 	})
 }
 
--- a/controller/flows.go
+++ b/controller/flows.go
@@ -25,10 +25,6 @@
 	// message to every member and an answer from it. Five members have an entry
 	// every 5 ms, half of what a fast disk takes to sync one.
 	entryIntervalPerMember = time.Millisecond
-	// fastReserveDivisor sets the part of the links that slow questions to the
-	// outside policy must leave free for fast ones: one link in
-	// fastReserveDivisor.
-	fastReserveDivisor = 4
 )
 
 // FlowSettings configures how a control process runs flows.
@@ -246,12 +242,11 @@
 			free++
 		}
 	}
-	reserve := len(l.questions) / fastReserveDivisor
 	for link, pending := range l.questions {
 		if pending != nil {
 			continue
 		}
-		ask, found := l.cell.NextPermitRequest(now, free > reserve)
+		ask, found := l.cell.NextPermitRequest(now, dispatcher.MaySendSlowRequest(free, len(l.questions)))
 		if !found {
 			return
 		}
--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -19,6 +19,9 @@
 	// slowDecision is the decision time above which a permit request is slow, and
 	// must leave some processes free for short requests.
 	slowDecision = 100 * time.Millisecond
+	// fastReserveDivisor sets the part of the links that slow requests must leave free
+	// for fast ones: one link in fastReserveDivisor.
+	fastReserveDivisor = 4
 	// askRetryInterval is the time to the next permit request of a step after a
 	// failed one.
 	askRetryInterval = 100 * time.Millisecond
@@ -37,6 +40,10 @@
 // learnRate is the weight of the newest observation in a running mean.
 const learnRate = 0.1
 
+// MaySendSlowRequest reports whether a request with a slow decision may take one of the
+// free links.
+func MaySendSlowRequest(free, links int) bool { return free > links/fastReserveDivisor }
+
 // NextPermitRequest returns the next permit request for the outside policy, if there is
 // one. It skips requests with a slow decision unless slow is set.
 func (d *Dispatcher) NextPermitRequest(now modeler.ClockReading, slow bool) (modeler.PermitRequest, bool) {
--- a/evaluator/pool.go
+++ b/evaluator/pool.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"math"
 	"os"
+	"slices"
 	"strings"
+	"time"
 
 	"goldcreststack.example/goldcreststack/dispatcher"
 	"goldcreststack.example/goldcreststack/modeler"
@@ -23,22 +25,45 @@
 	// Network is the time of a message to a worker, Commit that of a log entry.
 	Network modeler.Duration `json:"network"`
 	Commit  modeler.Duration `json:"commit"`
+	// LeaderTime is the processor time of the leader for a message that it receives or
+	// sends; 0 means that it is never behind.
+	LeaderTime modeler.Duration `json:"leadertime"`
 	// Askers is how many permit requests can be open at a time.
-	Askers  int          `json:"askers"`
-	Workers PoolWorkers  `json:"workers"`
+	Askers  int         `json:"askers"`
+	Workers PoolWorkers `json:"workers"`
+	// Accounts share the flows of all queues that are not public.
+	Accounts []PoolAccount `json:"accounts"`
+	// Tail slows a part of all attempts.
+	Tail    PoolTail     `json:"tail"`
 	Queues  []PoolQueue  `json:"queues"`
 	Bursts  []PoolBurst  `json:"bursts"`
 	Outages []PoolOutage `json:"outages"`
 }
 
-// PoolWorkers describes the workers of the pool. Speeds are relative to the usual
-// worker and are given to the workers in turn.
+// PoolWorkers describes the workers of the pool. Speeds and sizes are relative to the
+// usual worker and are given to the workers in turn.
 type PoolWorkers struct {
 	Count        int                  `json:"count"`
 	Processors   modeler.Millicores   `json:"processors"`
 	Memory       modeler.Bytes        `json:"memory"`
 	Accelerators modeler.Accelerators `json:"accelerators"`
 	Speeds       []float64            `json:"speeds"`
+	Sizes        []float64            `json:"sizes"`
+}
+
+// PoolAccount is a client account. Part is the part of the flows that it sends, relative
+// to the sum over all accounts, and Quota its processors; 0 means no limit.
+type PoolAccount struct {
+	Name   modeler.TeamName   `json:"name"`
+	Part   float64            `json:"part"`
+	Weight int                `json:"weight"`
+	Quota  modeler.Millicores `json:"quota"`
+}
+
+// PoolTail lets a part of the attempts run Factor times as long.
+type PoolTail struct {
+	Part   float64 `json:"part"`
+	Factor float64 `json:"factor"`
 }
 
 // PoolSpread is a log-normal distribution that is cut at Max; Spread is the
@@ -49,7 +74,7 @@
 	Max    float64 `json:"max"`
 }
 
-// PoolQueue describes the flows of a queue. Each has one step.
+// PoolQueue describes the flows of a queue.
 type PoolQueue struct {
 	Name     string           `json:"name"`
 	Priority int              `json:"priority"`
@@ -59,8 +84,12 @@
 	Attempts int              `json:"attempts"`
 	// Worth and Late are what a flow of mean size is worth to its caller in time
 	// and after that.
-	Worth float64    `json:"worth"`
-	Late  float64    `json:"late"`
+	Worth float64 `json:"worth"`
+	Late  float64 `json:"late"`
+	// Steps is the number of steps of a flow, each after the one before; one step if it
+	// is left out. Scale multiplies the processors and the memory of a step.
+	Steps PoolSpread `json:"steps"`
+	Scale PoolSpread `json:"scale"`
 	Width PoolSpread `json:"width"` // tasks of a step
 	Work  PoolSpread `json:"work"`  // seconds of a task
 	// Estimates is the standard deviation of the logarithm of estimate / run time.
@@ -70,10 +99,15 @@
 	Accelerators []modeler.Accelerators `json:"accelerators"`
 	// Gang, Checkpoints and Errors are the shares of steps that are gangs, of steps
 	// that save their work, and of attempts that fail.
-	Gang        float64      `json:"gang"`
-	Checkpoints float64      `json:"checkpoints"`
-	Errors      float64      `json:"errors"`
-	Permits     *PoolPermits `json:"permits"`
+	Gang        float64 `json:"gang"`
+	Checkpoints float64 `json:"checkpoints"`
+	Errors      float64 `json:"errors"`
+	// LongRunning tasks run until their caller cancels the flow, after Work. They are in
+	// time if all of them have started within longStart.
+	LongRunning bool `json:"longrunning"`
+	// Public queues take flows without an account.
+	Public  bool         `json:"public"`
+	Permits *PoolPermits `json:"permits"`
 }
 
 // PoolPermits describes the outside policy of a queue; Share is the share of
@@ -131,8 +165,8 @@
 	switch {
 	case s.Length <= 0:
 		return fmt.Errorf("length %v is not above 0", s.Length.Std())
-	case s.Drain < 0 || s.Network < 0 || s.Commit < 0:
-		return errors.New("drain, network and commit must not be negative")
+	case s.Drain < 0 || s.Network < 0 || s.Commit < 0 || s.LeaderTime < 0:
+		return errors.New("drain, network, commit and leadertime must not be negative")
 	case s.Workers.Count < 1 || s.Workers.Processors < 1:
 		return fmt.Errorf("workers: %d with %d millicores; there must be one with processors", s.Workers.Count, s.Workers.Processors)
 	case len(s.Queues) == 0:
@@ -161,7 +195,8 @@
 	for _, n := range q.Accelerators {
 		most = max(most, n)
 	}
-	need := modeler.Resources{Processors: q.Processors, Memory: q.Memory, Accelerators: most}
+	need := q.scaled(max(q.Scale.Max, 1))
+	need.Accelerators = most
 	switch {
 	case q.Name == "":
 		return errors.New("it has no name")
@@ -169,7 +204,7 @@
 		return fmt.Errorf("rate %v is not between 0 and %v", q.Rate, 1/arrivalStep.Seconds())
 	case q.Width.Mean <= 0 || q.Width.Max < 1 || q.Work.Mean <= 0 || q.Work.Max <= 0:
 		return errors.New("width and work need a mean above 0 and a max")
-	case !need.Fits(s.Workers.capacity()):
+	case !need.Fits(s.Workers.capacity(s.Workers.largest())):
 		return fmt.Errorf("a task of %v fits on no worker", need)
 	case q.Permits != nil && (s.Askers < 1 || q.Permits.Share <= 0 || q.Permits.Share > 1):
 		return fmt.Errorf("permits of share %v with %d askers: the share must be above 0 and at most 1, and there must be an asker", q.Permits.Share, s.Askers)
@@ -177,8 +212,47 @@
 	return nil
 }
 
-func (w PoolWorkers) capacity() modeler.Resources {
-	return modeler.Resources{Processors: w.Processors, Memory: w.Memory, Accelerators: w.Accelerators}
+// scaled returns what a task needs whose step is scaled by a factor.
+func (q *PoolQueue) scaled(factor float64) modeler.Resources {
+	return modeler.Resources{
+		Processors: modeler.Millicores(float64(q.Processors) * factor),
+		Memory:     modeler.Bytes(float64(q.Memory) * factor),
+	}
+}
+
+// capacity returns the resources of a worker.
+func (w PoolWorkers) capacity(i int) modeler.Resources {
+	size := 1.0
+	if len(w.Sizes) > 0 {
+		size = w.Sizes[i%len(w.Sizes)]
+	}
+	return modeler.Resources{
+		Processors:   modeler.Millicores(float64(w.Processors) * size),
+		Memory:       modeler.Bytes(float64(w.Memory) * size),
+		Accelerators: modeler.Accelerators(float64(w.Accelerators) * size),
+	}
+}
+
+// largest returns the index of a largest worker.
+func (w PoolWorkers) largest() int {
+	largest := 0
+	for i := range min(w.Count, len(w.Sizes)) {
+		if w.Sizes[i] > w.Sizes[largest] {
+			largest = i
+		}
+	}
+	return largest
+}
+
+// SetPermitTime replaces the time of the outside policies of all queues.
+func (s *PoolSettings) SetPermitTime(decision, worker time.Duration) {
+	for i := range s.Queues {
+		if p := s.Queues[i].Permits; p != nil {
+			changed := *p
+			changed.Decision, changed.Worker = modeler.Duration(decision), modeler.Duration(worker)
+			s.Queues[i].Permits = &changed
+		}
+	}
 }
 
 // PoolPolicy is a set of decisions under which a day is simulated.
@@ -187,13 +261,25 @@
 	Disabled map[dispatcher.Decision]bool
 }
 
-// PoolPolicies are the product's decisions, and the same without each of them.
-func PoolPolicies() []PoolPolicy {
+// PoolPolicies returns the product's decisions, and the same without each of the named
+// ones, or without each one if none is named.
+func PoolPolicies(without []string) ([]PoolPolicy, error) {
+	decisions := dispatcher.Decisions
+	if len(without) > 0 {
+		decisions = nil
+	}
+	for _, name := range without {
+		x := dispatcher.Decision(name)
+		if !slices.Contains(dispatcher.Decisions, x) {
+			return nil, fmt.Errorf("there is no decision %q", name)
+		}
+		decisions = append(decisions, x)
+	}
 	policies := []PoolPolicy{{Name: "all"}}
-	for _, x := range dispatcher.Decisions {
+	for _, x := range decisions {
 		policies = append(policies, PoolPolicy{Name: "without " + string(x), Disabled: map[dispatcher.Decision]bool{x: true}})
 	}
-	return policies
+	return policies, nil
 }
 
 // Pool is the result of simulating the same days under several policies.
@@ -217,6 +303,9 @@
 	// of work that attempts lost, per seed.
 	Preempted float64 `json:"preempted"`
 	LostWork  float64 `json:"lost"`
+	// Lag is the mean over the seeds of the longest time in seconds that a message has
+	// waited for the leader.
+	Lag float64 `json:"lag"`
 	// Timeline is the share served of the flows that arrived in each tenth of the
 	// day.
 	Timeline [poolParts]float64 `json:"timeline"`
@@ -228,6 +317,12 @@
 	Queue  string  `json:"queue"`
 	Served float64 `json:"served"`
 	InTime float64 `json:"intime"`
+	// Start is the mean time in seconds until the first task of a flow starts, and
+	// Requests the mean number of permit requests of a flow.
+	Start    float64 `json:"start"`
+	Requests float64 `json:"requests"`
+	// Few is the share of the permit requests that name one or two workers.
+	Few float64 `json:"few"`
 }
 
 // poolParts is the number of parts of a day in a timeline.
@@ -273,12 +368,14 @@
 			for _, t := range []*poolTally{&all, q, &parts[part]} {
 				t.add(f.worth, got)
 			}
+			q.addTimes(f)
 		}
 		shares = append(shares, all.share())
 		r.Worst = min(r.Worst, all.share())
 		r.Served += all.share() / n
 		r.Preempted += float64(day.preempted) / n
 		r.LostWork += day.lostWork.Seconds() / n
+		r.Lag += day.maxLag.Seconds() / n
 	}
 	for _, x := range shares {
 		r.Error += (x - r.Served) * (x - r.Served)
@@ -286,7 +383,12 @@
 	r.Error = math.Sqrt(r.Error) / n
 	for _, q := range s.Queues {
 		if t := queues[q.Name]; t != nil {
-			r.Queues = append(r.Queues, PoolQueueShare{Queue: q.Name, Served: t.share(), InTime: float64(t.inTime) / float64(t.flows)})
+			r.Queues = append(r.Queues, PoolQueueShare{
+				Queue: q.Name, Served: t.share(), InTime: float64(t.inTime) / float64(t.flows),
+				Start:    t.start.Seconds() / float64(max(t.started, 1)),
+				Requests: float64(t.requests) / float64(t.flows),
+				Few:      float64(t.few) / float64(max(t.requests, 1)),
+			})
 		}
 	}
 	for i := range parts {
@@ -299,6 +401,19 @@
 type poolTally struct {
 	owed, got     float64
 	flows, inTime int
+	// started counts the flows of which a task has started, and start sums the times
+	// until then. few counts those of the permit requests that name one or two workers.
+	started, requests, few int
+	start                  time.Duration
+}
+
+func (t *poolTally) addTimes(f *poolFlow) {
+	t.requests += f.requests
+	t.few += f.fewRequests
+	if f.firstStart > 0 {
+		t.started++
+		t.start += f.firstStart - f.arrival
+	}
 }
 
 func (t *poolTally) add(worth, got float64) {
@@ -322,15 +437,15 @@
 	text := fmt.Sprintf("%s, %d seeds; no policy can serve more than %.3f\n\n", p.File, p.Seeds, p.Bound)
 	header := "POLICY\tSERVED\tERROR\tWORST"
 	for _, q := range p.Runs[0].Queues {
-		header += "\t" + strings.ToUpper(q.Queue) + "\tIN TIME"
+		header += "\t" + strings.ToUpper(q.Queue) + "\tIN TIME\tSTART, S\tREQUESTS"
 	}
-	t := newTable(header + "\tPREEMPTED\tLOST, S\tOVER THE DAY")
+	t := newTable(header + "\tPREEMPTED\tLOST, S\tLAG, S\tOVER THE DAY")
 	for _, r := range p.Runs {
 		row := fmt.Sprintf("%s\t%.3f\t%.3f\t%.3f", r.Policy, r.Served, r.Error, r.Worst)
 		for _, q := range r.Queues {
-			row += fmt.Sprintf("\t%.3f\t%.3f", q.Served, q.InTime)
+			row += fmt.Sprintf("\t%.3f\t%.3f\t%.2f\t%.1f", q.Served, q.InTime, q.Start, q.Requests)
 		}
-		t.addRow("%s\t%.1f\t%.1f\t%s", row, r.Preempted, r.LostWork, plot(r.Timeline[:]))
+		t.addRow("%s\t%.1f\t%.1f\t%.2f\t%s", row, r.Preempted, r.LostWork, r.Lag, plot(r.Timeline[:]))
 	}
 	return text + t.String()
 }
--- a/evaluator/poolbound.go
+++ b/evaluator/poolbound.go
@@ -31,57 +31,75 @@
 	if owed == 0 {
 		return 1
 	}
-	speed := 0.0
-	for i := range s.Workers.Count {
-		speed += s.Workers.speed(i)
-	}
 	best := owed
-	whole := s.Workers.capacity()
 	for _, amount := range []func(modeler.Resources) float64{
 		func(r modeler.Resources) float64 { return float64(r.Processors) },
 		func(r modeler.Resources) float64 { return float64(r.Memory) },
 		func(r modeler.Resources) float64 { return float64(r.Accelerators) },
 	} {
-		if capacity := amount(whole) * speed; capacity > 0 {
-			best = min(best, fluidWorth(flows, capacity, func(f *poolFlow) float64 {
-				return f.totalWork().Seconds() * amount(f.Steps[0].Need)
-			}))
+		capacity := 0.0
+		for i := range s.Workers.Count {
+			capacity += s.Workers.speed(i) * amount(s.Workers.capacity(i))
+		}
+		if capacity > 0 {
+			best = min(best, fluidWorth(flows, capacity, func(f *poolFlow) float64 { return f.totalNeed(amount) }))
 		}
 	}
 	return best / owed
 }
 
-func (f *poolFlow) totalWork() time.Duration {
+// totalNeed returns the work of a flow times the amount of a resource that it needs.
+// That of long-running tasks, which fill what others leave, isn't counted.
+func (f *poolFlow) totalNeed(amount func(modeler.Resources) float64) float64 {
+	sum := 0.0
+	for i := range f.Steps {
+		if !f.Steps[i].LongRunning {
+			sum += stepWork(f.work[i]).Seconds() * amount(f.Steps[i].Need)
+		}
+	}
+	return sum
+}
+
+func stepWork(work []time.Duration) time.Duration {
 	sum := time.Duration(0)
-	for _, w := range f.work {
+	for _, w := range work {
 		sum += w
 	}
 	return sum
 }
 
 // earliestEnd returns when a flow can be done if it has the allowed workers to
-// itself: its longest task on the fastest one, and all of its work on all of them.
+// itself: the longest task of each step on the fastest one, and all of its work on all of
+// them. Long-running flows only have to start.
 func (d *poolDay) earliestEnd(f *poolFlow) time.Duration {
-	fastest, slots := 0.0, 0.0
+	at := f.arrival
+	if f.queue.Permits != nil {
+		at += f.queue.Permits.Decision.Std()
+	}
+	fastest := 0.0
+	slots := make([]float64, len(f.Steps))
 	for _, w := range d.workers {
 		if !d.isAllowed(f, w.ID) {
 			continue
 		}
 		fastest = max(fastest, w.speed)
-		n := 0
-		for f.Steps[0].Need.Times(int64(n+1)).Fits(w.Capacity) && n < f.Steps[0].Count {
-			n++
+		for i := range f.Steps {
+			n := 0
+			for n < f.Steps[i].Count && f.Steps[i].Need.Times(int64(n+1)).Fits(w.Capacity) {
+				n++
+			}
+			slots[i] += float64(n) * w.speed
 		}
-		slots += float64(n) * w.speed
 	}
-	if slots == 0 {
-		return math.MaxInt64
-	}
-	at := f.arrival
-	if f.queue.Permits != nil {
-		at += f.queue.Permits.Decision.Std()
+	for i, work := range f.work {
+		switch {
+		case slots[i] == 0:
+			return math.MaxInt64
+		case !f.Steps[i].LongRunning:
+			at += max(time.Duration(float64(slices.Max(work))/fastest), time.Duration(float64(stepWork(work))/slots[i]))
+		}
 	}
-	return at + max(time.Duration(float64(slices.Max(f.work))/fastest), time.Duration(float64(f.totalWork())/slots))
+	return at
 }
 
 // fluidJob is an amount of work that may be done between two times.
@@ -98,28 +116,48 @@
 	slices.SortFunc(sorted, func(a, b *poolFlow) int {
 		return cmp.Compare((b.worth-b.late)*workOf(a), (a.worth-a.late)*workOf(b))
 	})
-	var taken []fluidJob
+	jobs := make([]fluidJob, len(sorted))
 	sum := 0.0
-	for _, f := range sorted {
+	for i, f := range sorted {
 		sum += f.late
-		work := workOf(f)
-		fits := func(share float64) bool {
-			return fluidFits(append(taken, fluidJob{f.arrival, f.deadline, share * work}), capacity)
+		jobs[i] = fluidJob{f.arrival, f.deadline, workOf(f)}
+	}
+	for i := 0; i < len(sorted); {
+		// Most flows fit, so several are tried at a time: twice as many while they do.
+		n := 1
+		for i+n < len(sorted) && fluidFits(jobs[:i+n], capacity) {
+			n *= 2
 		}
-		share, above := 0.0, 1.0
-		if fits(1) {
-			share = 1
+		low, high := 0, min(n, len(sorted)-i)
+		for low < high {
+			middle := (low + high + 1) / 2
+			if fluidFits(jobs[:i+middle], capacity) {
+				low = middle
+			} else {
+				high = middle - 1
+			}
 		}
+		for _, f := range sorted[i : i+low] {
+			sum += f.worth - f.late
+		}
+		i += low
+		if i == len(sorted) {
+			break
+		}
+		whole := jobs[i].work
+		share, above := 0.0, 1.0
 		for range 6 {
 			middle := (share + above) / 2
-			if fits(middle) {
+			jobs[i].work = middle * whole
+			if fluidFits(jobs[:i+1], capacity) {
 				share = middle
 			} else {
 				above = middle
 			}
 		}
-		taken = append(taken, fluidJob{f.arrival, f.deadline, share * work})
-		sum += above * (f.worth - f.late)
+		jobs[i].work = share * whole
+		sum += above * (sorted[i].worth - sorted[i].late)
+		i++
 	}
 	return sum
 }
--- a/evaluator/poolday.go
+++ b/evaluator/poolday.go
@@ -4,11 +4,11 @@
 	"cmp"
 	"fmt"
 	"hash/fnv"
-	"maps"
 	"slices"
 	"time"
 
 	"goldcreststack.example/goldcreststack/dispatcher"
+	"goldcreststack.example/goldcreststack/limiter"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/sequencer"
 )
@@ -25,6 +25,10 @@
 	poolGangTimeout = 3 * time.Second
 	// poolAnnouncement is the time between announcements of a worker.
 	poolAnnouncement = time.Second
+	// poolOverage is the part of a quota by which a gang may exceed it, and
+	// poolSubmissions how often a caller submits a flow that is refused.
+	poolOverage     = 0.1
+	poolSubmissions = 4
 )
 
 // poolDay simulates one day under one policy: arrivals, workers, the outside
@@ -38,13 +42,22 @@
 	leader   *dispatcher.Dispatcher
 	term     modeler.Term
 	workers  []*poolWorker
-	flows    []*poolFlow
-	byID     map[modeler.FlowID]*poolFlow
+	// workerByID holds the values of workers.
+	workerByID map[modeler.WorkerID]*poolWorker
+	flows      []*poolFlow
+	byID       map[modeler.FlowID]*poolFlow
 	// doneAt holds when each flow was committed as done.
 	doneAt    map[modeler.FlowID]time.Duration
 	asking    int
 	preempted int
 	lostWork  time.Duration
+	// shares counts the flows that each account has submitted, and weights how many a
+	// second are within its share.
+	shares *limiter.Buckets
+	// leaderFreeAt is when the leader has handled all messages that have arrived.
+	leaderFreeAt time.Duration
+	maxLag       time.Duration
+	weights      map[modeler.TeamName]int
 }
 
 // poolWorker is a worker of the pool.
@@ -62,7 +75,10 @@
 // poolTask is a running attempt.
 type poolTask struct {
 	flow    *poolFlow
+	step    *modeler.Step
 	attempt modeler.Attempt
+	// speed is that of the worker, unless the attempt belongs to the tail.
+	speed float64
 	// resumed is the work that was done before, and starts is when work begins.
 	resumed time.Duration
 	starts  time.Duration
@@ -74,16 +90,23 @@
 	d := &poolDay{
 		settings: s, policy: p, seed: seed, loop: NewEventLoop(seed), state: sequencer.New(),
 		flows: poolArrivals(s, seed), byID: make(map[modeler.FlowID]*poolFlow), doneAt: make(map[modeler.FlowID]time.Duration),
+		shares: limiter.NewBuckets(max(len(s.Accounts), 1)), weights: make(map[modeler.TeamName]int), workerByID: make(map[modeler.WorkerID]*poolWorker),
+	}
+	for _, a := range s.Accounts {
+		d.weights[a.Name] = max(a.Weight, 1)
 	}
 	for i := range s.Workers.Count {
 		d.workers = append(d.workers, &poolWorker{
 			WorkerAnnouncement: modeler.WorkerAnnouncement{
 				ID: modeler.WorkerID(fmt.Sprintf("w%04d", i)), Generation: 1, Address: fmt.Sprintf("w%d:1", i), Service: poolService,
-				Capacity: s.Workers.capacity(),
+				Capacity: s.Workers.capacity(i),
 			},
 			speed: s.Workers.speed(i), running: make(map[modeler.FlowTask]*poolTask), highest: make(map[modeler.FlowTask]modeler.Attempt),
 		})
 	}
+	for _, w := range d.workers {
+		d.workerByID[w.ID] = w
+	}
 	return d
 }
 
@@ -112,12 +135,24 @@
 	return float64(h.Sum64()%1_000_003) / 1_000_003
 }
 
+// chanceOf returns the chance of an attempt, which is that of its index alone in the
+// first step.
+func (d *poolDay) chanceOf(kind string, task modeler.FlowTask, attempt modeler.Attempt) float64 {
+	return d.chance(kind, task.Flow, task.Index+stepStride*modeler.TaskIndex(task.Step), attempt)
+}
+
+// stepStride is above the number of tasks of any step.
+const stepStride = 100_000
+
 func (d *poolDay) run() {
 	var announcements []modeler.WorkerAnnouncement
 	for _, w := range d.workers {
 		announcements = append(announcements, w.WorkerAnnouncement)
 	}
 	d.state.UpdateWorkers(announcements, nil)
+	if len(d.settings.Accounts) > 0 {
+		d.state.SetLayout(d.settings.layout())
+	}
 	d.state.Changes()
 	d.electLeader()
 	for _, o := range d.settings.Outages {
@@ -150,10 +185,11 @@
 func (d *poolDay) electLeader() {
 	d.term++
 	d.asking = 0
+	d.leaderFreeAt = d.loop.Now
 	d.state.Changes()
 	d.leader = dispatcher.New(d.now(), d.stamp(), d.term, d.state, dispatcher.Settings{
 		MaxLease: poolLease, MaxStopTime: poolStopTime, GangTimeout: poolGangTimeout, MaxTimeOverTarget: 4 * time.Second,
-		Disabled: d.policy.Disabled,
+		Disabled: d.policy.Disabled, QuotaOverage: poolOverage,
 	})
 }
 
@@ -163,7 +199,28 @@
 		d.loop.After(100*time.Millisecond, func() { d.submit(f) })
 		return
 	}
-	d.commit(func() { d.state.Submit(d.stamp(), &f.Flow) })
+	if d.leader.CheckQuota(&f.Flow) != nil {
+		return
+	}
+	if f.Team != "" {
+		f.BeyondShare = !d.shares.Take(d.now(), string(f.Team), d.weights[f.Team])
+	}
+	if f.BeyondShare && d.leader.IsLateBeyondShare(f.Flow.Queue) {
+		f.submissions++
+		if f.submissions < poolSubmissions {
+			d.loop.After(time.Second, func() { d.submit(f) })
+		}
+		return
+	}
+	d.receive(d.term, func(*dispatcher.Dispatcher) { d.commit(func() { d.state.Submit(d.stamp(), &f.Flow) }) })
+	if f.queue.LongRunning {
+		d.loop.After(f.life, func() { d.cancel(f) })
+	}
+}
+
+// cancel ends a long-running flow.
+func (d *poolDay) cancel(f *poolFlow) {
+	d.commit(func() { d.state.Cancel(d.stamp(), f.ID) })
 }
 
 // commit applies a command and passes the changes to the leader.
@@ -172,10 +229,15 @@
 	if d.leader == nil {
 		return
 	}
-	d.leader.ApplyChanges(d.now(), d.stamp(), d.state.Changes())
-	for _, f := range d.flows {
-		if held, found := d.state.Flow(f.ID); found && held.State == modeler.FlowCompleted && d.doneAt[f.ID] == 0 {
-			d.doneAt[f.ID] = d.loop.Now
+	changes := d.state.Changes()
+	d.leader.ApplyChanges(d.now(), d.stamp(), changes)
+	for i := range changes {
+		id := changes[i].Flow
+		if changes[i].Kind != sequencer.FlowEnded || d.doneAt[id] != 0 {
+			continue
+		}
+		if held, found := d.state.Flow(id); found && held.State == modeler.FlowCompleted {
+			d.doneAt[id] = d.loop.Now
 		}
 	}
 }
@@ -190,11 +252,37 @@
 	})
 }
 
+// receive lets the leader of this term handle a message, after those that arrived before.
+func (d *poolDay) receive(term modeler.Term, handle func(leader *dispatcher.Dispatcher)) {
+	if d.leader == nil || d.term != term {
+		return
+	}
+	if d.settings.LeaderTime == 0 {
+		handle(d.leader)
+		return
+	}
+	d.occupyLeader(1)
+	d.loop.After(d.leaderFreeAt-d.loop.Now, func() {
+		if d.leader != nil && d.term == term {
+			handle(d.leader)
+		}
+	})
+}
+
+// occupyLeader takes the leader's time for messages.
+func (d *poolDay) occupyLeader(messages int) {
+	d.leaderFreeAt = max(d.leaderFreeAt, d.loop.Now) + time.Duration(messages)*d.settings.LeaderTime.Std()
+}
+
 // decide carries out the leader's decisions.
 func (d *poolDay) decide() {
+	lag := max(d.leaderFreeAt-d.loop.Now, 0)
+	d.maxLag = max(d.maxLag, lag)
+	d.leader.SetEventLag(lag)
 	out := d.leader.Output(d.now())
+	d.occupyLeader(len(out.Orders))
 	slices.SortFunc(out.Orders, func(a, b modeler.Order) int {
-		return cmp.Or(cmp.Compare(a.Worker, b.Worker), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Task.Flow, b.Task.Flow), cmp.Compare(a.Task.Index, b.Task.Index))
+		return cmp.Or(cmp.Compare(a.Worker, b.Worker), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Task.Flow, b.Task.Flow), cmp.Compare(a.Task.Step, b.Task.Step), cmp.Compare(a.Task.Index, b.Task.Index))
 	})
 	for _, o := range out.Orders {
 		d.loop.After(d.settings.Network.Std(), func() { d.deliver(o) })
@@ -213,20 +301,27 @@
 		})
 	}
 	for d.asking < d.settings.Askers {
-		ask, found := d.leader.NextPermitRequest(d.now(), true)
+		ask, found := d.leader.NextPermitRequest(d.now(), dispatcher.MaySendSlowRequest(d.settings.Askers-d.asking, d.settings.Askers))
 		if !found {
 			return
 		}
 		d.asking++
-		d.afterAs(ask.Timeout, func(leader *dispatcher.Dispatcher) {
+		d.occupyLeader(1)
+		f := d.byID[ask.Step.Flow]
+		f.requests++
+		if len(ask.Workers) <= 2 {
+			f.fewRequests++
+		}
+		term := d.term
+		d.afterAs(ask.Timeout+2*d.settings.Network.Std(), func(*dispatcher.Dispatcher) {
 			d.asking--
 			answer := modeler.PermitAnswer{Step: ask.Step}
 			for _, id := range ask.Workers {
-				if d.isAllowed(d.byID[ask.Step.Flow], id) {
+				if d.isAllowed(f, id) {
 					answer.Allowed = append(answer.Allowed, modeler.PermitGrant{Worker: id, Permit: "p"})
 				}
 			}
-			leader.HandlePermitAnswer(d.now(), answer)
+			d.receive(term, func(leader *dispatcher.Dispatcher) { leader.HandlePermitAnswer(d.now(), answer) })
 		})
 	}
 }
@@ -236,186 +331,6 @@
 	return f.queue.Permits == nil || d.chance("permit", f.ID, id) < f.queue.Permits.Share
 }
 
-// deliver carries out an order on its worker.
-func (d *poolDay) deliver(o modeler.Order) {
-	w := d.workers[slices.IndexFunc(d.workers, func(w *poolWorker) bool { return w.ID == o.Worker })]
-	term := d.term
-	answer := func(a modeler.OrderAnswer) {
-		a.Clock = d.clock()
-		d.loop.After(d.settings.Network.Std(), func() {
-			switch {
-			case d.leader == nil || d.term != term:
-			case o.Kind == modeler.RenewOrder:
-				d.leader.HandleRenewalAnswer(d.now(), o, a)
-			default:
-				d.leader.HandleOrderAnswer(d.now(), o, a)
-			}
-		})
-	}
-	switch o.Kind {
-	case modeler.RenewOrder:
-		w.ended = slices.DeleteFunc(w.ended, func(e modeler.EndedAttempt) bool { return e.Number <= o.Cursor })
-		open := true
-		w.renewal = func() {
-			if open {
-				open = false
-				answer(d.list(w))
-			}
-		}
-		if len(w.ended) > 0 || o.Wait == 0 {
-			w.renewal()
-		} else {
-			d.loop.After(o.Wait, w.renewal)
-		}
-	case modeler.StartOrder:
-		answer(modeler.OrderAnswer{Outcome: d.start(w, o)})
-	case modeler.StopOrder:
-		w.highest[o.Task] = max(w.highest[o.Task], o.Attempt)
-		if t := w.running[o.Task]; t != nil && t.attempt <= o.Attempt && !t.ending {
-			d.preempted++
-			t.ending = true
-			d.loop.After(poolStop, func() { d.end(w, o.Task, t, modeler.EndStopped) })
-		}
-		answer(modeler.OrderAnswer{Outcome: modeler.OrderAccepted})
-	default:
-		answer(modeler.OrderAnswer{Outcome: modeler.OrderAccepted})
-	}
-}
-
-// list returns the lists of a worker.
-func (d *poolDay) list(w *poolWorker) modeler.OrderAnswer {
-	a := modeler.OrderAnswer{Outcome: modeler.OrderAccepted, Generation: w.Generation, Ended: slices.Clone(w.ended)}
-	for _, task := range sortedPoolTasks(w.running) {
-		t := w.running[task]
-		done := d.workDone(w, t)
-		e := modeler.RunningAttempt{Task: task, Attempt: t.attempt, Percent: min(100, int(100*done/max(t.workOf(task), 1)))}
-		if whole := done.Truncate(time.Second); t.flow.Steps[0].Checkpoints && whole > 0 {
-			e.Saved = modeler.Checkpoint(whole.String())
-		}
-		a.Running = append(a.Running, e)
-	}
-	return a
-}
-
-func sortedPoolTasks(running map[modeler.FlowTask]*poolTask) []modeler.FlowTask {
-	return slices.SortedFunc(maps.Keys(running), func(a, b modeler.FlowTask) int {
-		return cmp.Or(cmp.Compare(a.Flow, b.Flow), cmp.Compare(a.Index, b.Index))
-	})
-}
-
-func (t *poolTask) workOf(task modeler.FlowTask) time.Duration { return t.flow.work[task.Index] }
-
-// workDone returns the work that an attempt has done, with what it resumed from.
-func (d *poolDay) workDone(w *poolWorker, t *poolTask) time.Duration {
-	if !t.working || d.loop.Now < t.starts {
-		return t.resumed
-	}
-	return t.resumed + time.Duration(float64(d.loop.Now-t.starts)*w.speed)
-}
-
-func (d *poolDay) start(w *poolWorker, o modeler.Order) modeler.OrderOutcome {
-	if t := w.running[o.Task]; t != nil && t.attempt == o.Attempt {
-		return modeler.OrderAccepted
-	}
-	if o.Attempt <= w.highest[o.Task] || w.running[o.Task] != nil {
-		return modeler.OrderSuperseded
-	}
-	w.highest[o.Task] = o.Attempt
-	t := &poolTask{flow: d.byID[o.Task.Flow], attempt: o.Attempt, starts: d.loop.Now}
-	if o.Saved != "" {
-		saved, err := time.ParseDuration(string(o.Saved))
-		if err == nil {
-			t.resumed = saved
-			t.starts += poolRestore
-		}
-	}
-	w.running[o.Task] = t
-	if !t.flow.Steps[0].Gang {
-		d.begin(w, o.Task, t)
-		return modeler.OrderAccepted
-	}
-	members := d.gang(o.Task, o.Attempt)
-	if len(members) == t.flow.Steps[0].Count {
-		for _, m := range members {
-			m.task.starts = max(d.loop.Now, m.task.starts)
-			d.begin(m.worker, m.id, m.task)
-		}
-		return modeler.OrderAccepted
-	}
-	d.loop.After(poolGangTimeout, func() {
-		if !t.working {
-			d.end(w, o.Task, t, modeler.EndGangTimeout)
-		}
-	})
-	return modeler.OrderAccepted
-}
-
-// begin lets an attempt work until it is done or fails.
-func (d *poolDay) begin(w *poolWorker, task modeler.FlowTask, t *poolTask) {
-	t.working = true
-	rest := time.Duration(float64(t.workOf(task)-t.resumed) / w.speed)
-	kind := modeler.EndDone
-	if d.chance("error", task.Flow, task.Index, t.attempt) < t.flow.queue.Errors {
-		kind = modeler.EndFailed
-		rest = time.Duration(float64(rest) * d.chance("moment", task.Flow, task.Index, t.attempt))
-	}
-	d.loop.After(max(0, t.starts-d.loop.Now)+max(rest, time.Millisecond), func() {
-		if !t.ending {
-			d.end(w, task, t, kind)
-		}
-	})
-}
-
-// poolMember is a running member of a gang.
-type poolMember struct {
-	worker *poolWorker
-	id     modeler.FlowTask
-	task   *poolTask
-}
-
-func (d *poolDay) gang(task modeler.FlowTask, attempt modeler.Attempt) []poolMember {
-	var out []poolMember
-	for _, w := range d.workers {
-		for _, id := range sortedPoolTasks(w.running) {
-			if t := w.running[id]; id.Flow == task.Flow && t.attempt == attempt {
-				out = append(out, poolMember{w, id, t})
-			}
-		}
-	}
-	return out
-}
-
-// end ends an attempt, and with it the other members of its gang.
-func (d *poolDay) end(w *poolWorker, task modeler.FlowTask, t *poolTask, kind modeler.EndKind) {
-	if w.running[task] != t {
-		return
-	}
-	done := d.workDone(w, t)
-	delete(w.running, task)
-	e := modeler.EndedAttempt{Task: task, Attempt: t.attempt, Kind: kind}
-	if t.flow.Steps[0].Checkpoints && kind != modeler.EndFailed && done > 0 {
-		e.Saved = modeler.Checkpoint(done.Truncate(time.Millisecond).String())
-	} else if kind != modeler.EndDone {
-		d.lostWork += done
-	}
-	w.number++
-	e.Number = w.number
-	w.ended = append(w.ended, e)
-	if w.renewal != nil {
-		w.renewal()
-	}
-	if !t.flow.Steps[0].Gang {
-		return
-	}
-	others := kind
-	if kind != modeler.EndDone {
-		others = modeler.EndGangBroken
-	}
-	for _, m := range d.gang(task, t.attempt) {
-		d.end(m.worker, m.id, m.task, others)
-	}
-}
-
 // credit returns what a flow's caller got.
 func (d *poolDay) credit(f *poolFlow) float64 {
 	at := d.doneAt[f.ID]
