dispatcher: useful permit requests, and headroom for urgent work

Cause: requests named workers that stay full until the permit expires, a few at a time as permits expire, and when the policy answers fast the additional reports take the leader's time from urgent flows.

Change: requests leave out workers without room within the permits' validity, answered steps gather ten workers for up to 0.5 s unless fewer suffice, and steps within their share ask first. Less urgent steps neither start nor ask while the leader's event lag exceeds 50 ms and urgent work starts; those that can't be preempted leave room for it. Both are decisions that can be switched off.

--- a/dispatcher/decision.go
+++ b/dispatcher/decision.go
@@ -29,10 +29,14 @@
 	// PriorityFirst puts steps beyond the share of their account behind others of the same
 	// priority only, and not behind less urgent ones.
 	PriorityFirst Decision = "priority before share"
+	// UsefulPermits asks only for permits that tasks are likely to use before they expire.
+	UsefulPermits Decision = "useful permits"
+	// Headroom keeps room for urgent tasks that are likely to arrive.
+	Headroom Decision = "headroom"
 )
 
 // Decisions lists all decisions that can be switched off.
-var Decisions = []Decision{HoldPermits, Reserve, Preempt, Copy, Quarantine, Timeliness, Speed, PermitsAhead, VictimSlack, Runtimes, PriorityFirst}
+var Decisions = []Decision{HoldPermits, Reserve, Preempt, Copy, Quarantine, Timeliness, Speed, PermitsAhead, VictimSlack, Runtimes, PriorityFirst, UsefulPermits, Headroom}
 
 // uses reports whether a decision is not switched off.
 func (d *Dispatcher) uses(x Decision) bool { return !d.settings.Disabled[x] }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -92,6 +92,8 @@
 	out           Output
 	// changed means that the state has changed since the last placement.
 	changed bool
+	// headroom is what less urgent steps leave to the most urgent ones.
+	headroom headroom
 	// examined counts the workers examined in the current pass of the placement, which
 	// is partial if it did not reach all waiting steps. placeRound counts the rounds
 	// of passes that did.
@@ -104,6 +106,8 @@
 	// searchStart is the index in hostList at which the next search for workers to
 	// ask about begins.
 	searchStart int
+	// hasBeyondShare means that a step beyond its account's share waits for permits.
+	hasBeyondShare bool
 	// lossyUntil is when renewals return to their usual wait after one got no
 	// answer.
 	lossyUntil modeler.ClockReading
@@ -228,6 +232,7 @@
 	d.updateReadiness(now)
 	d.updateTimeliness()
 	d.updateLateBeyondShare()
+	d.updateRoomSoon(now)
 	d.changed = true
 }
 
--- /dev/null
+++ b/dispatcher/headroom.go
@@ -0,0 +1,178 @@
+package dispatcher
+
+import (
+	"time"
+
+	"goldcreststack.example/goldcreststack/modeler"
+)
+
+const (
+	// headroomInterval is the width of one of the headroomIntervals for which urgent starts
+	// are counted. Together they span 3 s, so that bursts of a second leave a mark and the
+	// end of urgent work is noticed soon.
+	headroomInterval  = 250 * time.Millisecond
+	headroomIntervals = 12
+	// headroomIdle is the time since the last urgent start after which nothing is kept.
+	headroomIdle = time.Second
+	// maxUrgentSlack bounds the time that tasks may lose before their flow is late for
+	// their queue to count as urgent. Others can wait until room is freed by preemption,
+	// which takes up to 0.7 s, and a second more if work has to be saved first.
+	maxUrgentSlack = 2 * time.Second
+	// urgentLag is the event lag above which the leader works for the most urgent steps
+	// only: a fifth of the lag from which on it places nothing. A start costs the leader
+	// several messages, and urgent steps wait behind all of them.
+	urgentLag = maxPlacementLag / 5
+	// maxLongRunningDelay bounds how long tasks that last wait for the sake of urgent work.
+	// Callers expect them to run within 6 s.
+	maxLongRunningDelay = 3 * time.Second
+)
+
+// headroom is what less urgent steps leave to the most urgent queues. It serves full cells
+// in which the outside policy answers fast: less urgent work then takes all room as it
+// becomes free, and all of the leader's time.
+type headroom struct {
+	// priority is that of the most urgent steps that have started lately.
+	priority int
+	// intervals counts their starts, and needs sums what the tasks needed.
+	intervals [headroomIntervals]int
+	needs     [headroomIntervals]modeler.Resources
+	// latest is the number of the newest interval, and startedAt the time of the last start.
+	latest    int64
+	startedAt modeler.ClockReading
+	// need is the mean need of the tasks, keep how many of them need room, and slots how
+	// many have room in the cell. They are as of the current pass of the placement.
+	need        modeler.Resources
+	keep, slots int
+}
+
+// isActive reports whether urgent tasks have started lately.
+func (r *headroom) isActive(now modeler.ClockReading) bool {
+	return r.startedAt != 0 && now.Sub(r.startedAt) <= headroomIdle
+}
+
+// advance begins the interval of now, and forgets those that are over for long.
+func (r *headroom) advance(now modeler.ClockReading) {
+	interval := int64(time.Duration(now) / headroomInterval)
+	for i := max(r.latest+1, interval-headroomIntervals+1); i <= interval; i++ {
+		r.intervals[i%headroomIntervals] = 0
+		r.needs[i%headroomIntervals] = modeler.Resources{}
+	}
+	r.latest = max(r.latest, interval)
+}
+
+// add counts the start of an urgent task.
+func (r *headroom) add(now modeler.ClockReading, priority int, need modeler.Resources) {
+	if priority != r.priority || r.startedAt == 0 {
+		if r.isActive(now) && priority > r.priority {
+			return
+		}
+		*r = headroom{priority: priority}
+	}
+	r.advance(now)
+	r.startedAt = now
+	r.intervals[r.latest%headroomIntervals]++
+	r.needs[r.latest%headroomIntervals] = r.needs[r.latest%headroomIntervals].Add(need)
+}
+
+// mean returns the mean need of the counted tasks, and how many start within a time.
+func (r *headroom) mean(within time.Duration) (modeler.Resources, int) {
+	count, sum := 0, modeler.Resources{}
+	for i := range r.intervals {
+		count += r.intervals[i]
+		sum = sum.Add(r.needs[i])
+	}
+	if count == 0 {
+		return modeler.Resources{}, 0
+	}
+	n := int64(count)
+	mean := modeler.Resources{
+		Processors:   sum.Processors / modeler.Millicores(n),
+		Memory:       sum.Memory / modeler.Bytes(n),
+		Accelerators: sum.Accelerators / modeler.Accelerators(n),
+	}
+	return mean, int(time.Duration(count) * within / (headroomIntervals * headroomInterval))
+}
+
+// isUrgent reports whether a step's flow is late if the step waits for others to be
+// preempted.
+func (u *unit) isUrgent() bool {
+	if u.policy.Permits == nil || u.step.LongRunning || u.step.Backfill || u.step.Gang {
+		return false
+	}
+	slack := time.Duration((u.policy.Slowdown-1)*float64(u.expectedRuntime())) + u.policy.Latency
+	return u.policy.Latency > 0 && slack <= maxUrgentSlack
+}
+
+// recordUrgentStart learns from the start of a task of the step.
+func (d *Dispatcher) recordUrgentStart(now modeler.ClockReading, u *unit) {
+	if d.uses(Headroom) && u.isUrgent() {
+		d.headroom.add(now, u.policy.Priority, neededBy(u.step))
+	}
+}
+
+// updateHeadroom computes the headroom for one pass of the placement: room for the tasks
+// that start within the time that it takes to free room by preemption.
+func (d *Dispatcher) updateHeadroom(now modeler.ClockReading) {
+	r := &d.headroom
+	r.keep, r.slots = 0, 0
+	if !r.isActive(now) {
+		return
+	}
+	r.advance(now)
+	r.need, r.keep = r.mean(preemptAfter + d.settings.MaxStopTime + freedRoomDelay)
+	if r.keep == 0 {
+		return
+	}
+	for _, h := range d.hostList {
+		if d.outOfService(now, h) == "" {
+			r.slots += r.slotsOn(h.free())
+		}
+	}
+}
+
+func (r *headroom) slotsOn(free modeler.Resources) int { return timesIn(r.need, free, maxSlots) }
+
+// maxSlots bounds the urgent tasks that one worker is taken to have room for.
+const maxSlots = 1000
+
+// isLimitedByHeadroom reports whether a step leaves room to more urgent ones. Tasks that
+// can be preempted use it: they can be stopped in time.
+func (d *Dispatcher) isLimitedByHeadroom(now modeler.ClockReading, u *unit) bool {
+	if !d.yieldsToUrgent(now, u) || d.headroom.keep == 0 {
+		return false
+	}
+	return u.step.Gang || !u.step.Checkpoints || u.step.LongRunning
+}
+
+// leavesHeadroom reports whether the room for urgent tasks remains if a task of the step
+// starts on the worker.
+func (d *Dispatcher) leavesHeadroom(now modeler.ClockReading, u *unit, h *host, need modeler.Resources) bool {
+	if !d.isLimitedByHeadroom(now, u) {
+		return true
+	}
+	free := h.free()
+	return d.headroom.slots-d.headroom.slotsOn(free)+d.headroom.slotsOn(free.Sub(need)) >= d.headroom.keep
+}
+
+// useHeadroom updates the room for urgent tasks for a task that is started on a worker.
+func (d *Dispatcher) useHeadroom(h *host, need modeler.Resources) {
+	if d.headroom.keep > 0 {
+		free := h.free()
+		d.headroom.slots += d.headroom.slotsOn(free) - d.headroom.slotsOn(free.Add(need))
+	}
+}
+
+// yieldsToUrgent reports whether a step is less urgent than others that have started
+// lately. Tasks that last yield for a while only, since their callers wait for them too.
+func (d *Dispatcher) yieldsToUrgent(now modeler.ClockReading, u *unit) bool {
+	if !d.uses(Headroom) || u.policy.Permits == nil || !d.headroom.isActive(now) || u.policy.Priority <= d.headroom.priority {
+		return false
+	}
+	return !u.step.LongRunning || now.Sub(u.readyAt) < maxLongRunningDelay
+}
+
+// waitsForLeader reports whether the step waits since the leader is behind with its work.
+// Tasks that last don't wait for that: they are too few to delay others.
+func (d *Dispatcher) waitsForLeader(now modeler.ClockReading, u *unit) bool {
+	return d.eventLag > urgentLag && !u.step.LongRunning && d.yieldsToUrgent(now, u)
+}
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -133,6 +133,9 @@
 	health
 	// openPermitRequests counts the open permit requests that name the worker.
 	openPermitRequests int
+	// roomSoon is what is likely to be free at some time before a permit that is
+	// requested now expires.
+	roomSoon modeler.Resources
 	// speed is the worker's estimated speed.
 	speed speed
 	// slowSeenAt holds when each slow task on the worker was last seen to be slow,
--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -35,6 +35,9 @@
 	// fullWorkersPerTask is the number of permits per waiting task up to which a
 	// request names workers without capacity that the step has not asked about.
 	fullWorkersPerTask = 4
+	// gatherTime is how long a step that has been answered waits at most until its next
+	// request names minAsked workers: a fifth of a usual validity.
+	gatherTime = 500 * time.Millisecond
 )
 
 // learnRate is the weight of the newest observation in a running mean.
@@ -45,10 +48,20 @@
 func MaySendSlowRequest(free, links int) bool { return free > links/fastReserveDivisor }
 
 // NextPermitRequest returns the next permit request for the outside policy, if there is
-// one. It skips requests with a slow decision unless slow is set.
+// one. It skips requests with a slow decision unless slow is set. Steps beyond the share of
+// their account ask after the others, whatever their priority.
 func (d *Dispatcher) NextPermitRequest(now modeler.ClockReading, slow bool) (modeler.PermitRequest, bool) {
+	if d.uses(UsefulPermits) && d.hasBeyondShare {
+		if ask, found := d.nextPermitRequest(now, slow, func(u *unit) bool { return !u.beyondShare }); found {
+			return ask, true
+		}
+	}
+	return d.nextPermitRequest(now, slow, func(*unit) bool { return true })
+}
+
+func (d *Dispatcher) nextPermitRequest(now modeler.ClockReading, slow bool, among func(*unit) bool) (modeler.PermitRequest, bool) {
 	for _, u := range d.sortedUnits {
-		if u.policy.Permits == nil || u.isAsking || now < u.nextAskAt || u.waiting.len() == 0 || u.waitsForQuota {
+		if u.policy.Permits == nil || u.isAsking || now < u.nextAskAt || u.waiting.len() == 0 || u.waitsForQuota || !among(u) {
 			continue
 		}
 		if !slow && u.policy.Permits.Decision > slowDecision {
@@ -57,8 +70,11 @@
 		if !(u.ready && (u.lacksWorkers || len(u.permits) == 0)) && !(u.isReadySoon && len(u.permits)+len(u.denied) == 0) {
 			continue
 		}
+		if d.waitsForLeader(now, u) {
+			continue
+		}
 		names := d.chooseWorkersToAsk(now, u)
-		if len(names) == 0 {
+		if len(names) == 0 || d.shouldGather(now, u, names) {
 			u.nextAskAt = now.Add(candidateSearchInterval)
 			continue
 		}
@@ -148,7 +164,10 @@
 	}
 	if expected < want {
 		names = d.addPreemptableWorkers(now, u, need, names)
-		names = d.addFullWorkers(now, u, names)
+		names = d.addFullWorkers(now, u, names, maxAsked, d.uses(UsefulPermits))
+	}
+	if d.uses(UsefulPermits) && len(names) > 0 && len(names) < minAsked && u.policy.Permits.Decision > slowDecision {
+		names = d.addFullWorkers(now, u, names, minAsked, false)
 	}
 	return names
 }
@@ -156,15 +175,20 @@
 // addFullWorkers adds workers without capacity, so that the step holds permits for
 // them when resources become free there. A request takes the policy hardly longer
 // if it names more workers, and most of a second request. Each call begins with
-// another worker, so that different steps wait for different workers.
-func (d *Dispatcher) addFullWorkers(now modeler.ClockReading, u *unit, names []modeler.WorkerID) []modeler.WorkerID {
+// another worker, so that different steps wait for different workers. With soon set it
+// leaves out workers that are likely to be full until the permit expires.
+func (d *Dispatcher) addFullWorkers(now modeler.ClockReading, u *unit, names []modeler.WorkerID, most int, soon bool) []modeler.WorkerID {
 	hasEnough := !d.uses(HoldPermits) || len(u.permits) >= fullWorkersPerTask*u.waiting.len()
-	for i := 0; i < len(d.hostList) && len(names) < maxAsked; i++ {
+	need := neededBy(u.step)
+	for i := 0; i < len(d.hostList) && len(names) < most; i++ {
 		d.searchStart = (d.searchStart + 1) % len(d.hostList)
 		h := d.hostList[d.searchStart]
 		if _, known := u.permits[h.worker.ID]; hasEnough && !known {
 			continue
 		}
+		if soon && !fits(need, h.roomSoon) {
+			continue
+		}
 		if d.canAsk(now, u, h) && !slices.Contains(names, h.worker.ID) {
 			names = append(names, h.worker.ID)
 		}
@@ -172,6 +196,46 @@
 	return names
 }
 
+// shouldGather reports whether a step that holds answers waits until its next request can
+// name more workers: permits expire a few at a time, and each request costs the policy its
+// decision and the leader two messages. Workers that have room for all waiting tasks are
+// asked about at once.
+func (d *Dispatcher) shouldGather(now modeler.ClockReading, u *unit, names []modeler.WorkerID) bool {
+	if !d.uses(UsefulPermits) || u.answeredAt == 0 || now.Sub(u.answeredAt) >= gatherTime || len(names) >= minAsked {
+		return false
+	}
+	need, tasks := neededBy(u.step), 0
+	for _, id := range names {
+		tasks += d.taskCapacity(now, u, d.hosts[id], need)
+	}
+	return tasks < u.waiting.len()
+}
+
+// updateRoomSoon updates which workers are likely to have room before a permit expires
+// that is requested now. Permits of other workers expire unused, and on a full cell their
+// requests delay the first requests of steps that could start.
+func (d *Dispatcher) updateRoomSoon(now modeler.ClockReading) {
+	validity := time.Duration(0)
+	d.hasBeyondShare = false
+	for _, u := range d.sortedUnits {
+		if u.policy.Permits != nil && u.waiting.len() > 0 {
+			validity = max(validity, u.policy.Permits.Validity)
+			d.hasBeyondShare = d.hasBeyondShare || u.beyondShare
+		}
+	}
+	if validity == 0 || !d.uses(UsefulPermits) {
+		return
+	}
+	for _, h := range d.hostList {
+		h.roomSoon = h.free()
+		for _, r := range h.runs {
+			if r.stopping || r.phase == ending || r.unit != nil && !r.unit.step.LongRunning && r.remainingTime(now) <= validity {
+				h.roomSoon = h.roomSoon.Add(r.need)
+			}
+		}
+	}
+}
+
 // canAsk reports whether a permit request for the step may name the worker.
 func (d *Dispatcher) canAsk(now modeler.ClockReading, u *unit, h *host) bool {
 	id := h.worker.ID
@@ -237,6 +301,7 @@
 		return
 	}
 	d.clearAsked(u)
+	u.answeredAt = now
 	if a.Failed {
 		u.nextAskAt = now.Add(askRetryInterval)
 		d.settings.Log("permit question failed", "request", a.Step.Flow, "step", a.Step.Step, "took", a.Elapsed.String())
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -41,6 +41,7 @@
 	d.examined = 0
 	d.passIsPartial = false
 	clear(d.blockedAccounts)
+	d.updateHeadroom(now)
 	for _, u := range d.sortedUnits {
 		if !u.ready || u.waiting.len() == 0 {
 			u.lacksWorkers = false
@@ -65,6 +66,11 @@
 			d.changed = true
 			return
 		}
+		if d.waitsForLeader(now, u) {
+			u.lacksWorkers = true
+			reserving += min(len(u.reservations), 1)
+			continue
+		}
 		u.placeRound = d.placeRound
 		if u.step.Gang {
 			u.lacksWorkers = !d.placeGang(now, u)
@@ -235,6 +241,8 @@
 		Generation: h.worker.Generation,
 	}
 	r := d.addRun(now, start, h, committing)
+	d.recordUrgentStart(now, u)
+	d.useHeadroom(h, r.need)
 	r.permit = u.permits[h.worker.ID].text
 	d.committing++
 	d.out.Starts = append(d.out.Starts, start)
@@ -299,7 +307,7 @@
 
 // canRun reports whether a task of the step can run on the worker now.
 func (d *Dispatcher) canRun(now modeler.ClockReading, u *unit, h *host, need modeler.Resources) bool {
-	if !u.suits(h) || !need.Fits(h.free()) || !d.usableBy(now, u, h) || !fits(need, d.roomFor(now, u, h)) {
+	if !u.suits(h) || !need.Fits(h.free()) || !d.usableBy(now, u, h) || !fits(need, d.roomFor(now, u, h)) || !d.leavesHeadroom(now, u, h, need) {
 		return false
 	}
 	return u.step.PerWorker == 0 || u.runsOn[h.worker.ID] < u.step.PerWorker
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -60,7 +60,9 @@
 	askedWorkers []*host
 	isAsking     bool
 	nextAskAt    modeler.ClockReading
-	readyAt      modeler.ClockReading
+	// answeredAt is when the last permit request was answered, or 0.
+	answeredAt modeler.ClockReading
+	readyAt    modeler.ClockReading
 	// occurrenceDone means that all steps of the unit's occurrence are done, and dropped
 	// that the unit is not in use any more.
 	occurrenceDone bool
