dispatcher: headroom counts room that preemption frees; tests of permits and headroom

It is summed up once a tick. Tests in memory on the load that each decision answers; TestFastPolicyLeavesUrgentFlowsInTime on the sample with a leader of 450 us a message.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -233,6 +233,7 @@
 	d.updateTimeliness()
 	d.updateLateBeyondShare()
 	d.updateRoomSoon(now)
+	d.updateHeadroom(now)
 	d.changed = true
 }
 
--- a/dispatcher/headroom.go
+++ b/dispatcher/headroom.go
@@ -40,7 +40,7 @@
 	latest    int64
 	startedAt modeler.ClockReading
 	// need is the mean need of the tasks, keep how many of them need room, and slots how
-	// many have room in the cell. They are as of the current pass of the placement.
+	// many have room in the cell or get it by preemption.
 	need        modeler.Resources
 	keep, slots int
 }
@@ -110,8 +110,8 @@
 	}
 }
 
-// updateHeadroom computes the headroom for one pass of the placement: room for the tasks
-// that start within the time that it takes to free room by preemption.
+// updateHeadroom computes the room for the tasks that start within the time that it takes
+// to free room by preemption. It runs once a tick, since it examines all attempts.
 func (d *Dispatcher) updateHeadroom(now modeler.ClockReading) {
 	r := &d.headroom
 	r.keep, r.slots = 0, 0
@@ -124,42 +124,47 @@
 		return
 	}
 	for _, h := range d.hostList {
+		h.urgentRoom = h.free()
+		for _, other := range h.runs {
+			if other.unit != nil && r.mayPreempt(other.unit) {
+				h.urgentRoom = h.urgentRoom.Add(other.need)
+			}
+		}
 		if d.outOfService(now, h) == "" {
-			r.slots += r.slotsOn(h.free())
+			r.slots += r.slotsOn(h.urgentRoom)
 		}
 	}
 }
 
+// mayPreempt reports whether tasks of a step can be preempted for the urgent ones.
+func (r *headroom) mayPreempt(u *unit) bool {
+	return u.policy.Priority > r.priority && u.step.Checkpoints && !u.step.Gang && !u.step.LongRunning && !u.step.Backfill
+}
+
 func (r *headroom) slotsOn(free modeler.Resources) int { return timesIn(r.need, free, maxSlots) }
 
 // maxSlots bounds the urgent tasks that one worker is taken to have room for.
 const maxSlots = 1000
 
-// isLimitedByHeadroom reports whether a step leaves room to more urgent ones. Tasks that
-// can be preempted use it: they can be stopped in time.
-func (d *Dispatcher) isLimitedByHeadroom(now modeler.ClockReading, u *unit) bool {
-	if !d.yieldsToUrgent(now, u) || d.headroom.keep == 0 {
-		return false
-	}
-	return u.step.Gang || !u.step.Checkpoints || u.step.LongRunning
-}
-
 // leavesHeadroom reports whether the room for urgent tasks remains if a task of the step
-// starts on the worker.
+// starts on the worker. Tasks that can be preempted may use that room.
 func (d *Dispatcher) leavesHeadroom(now modeler.ClockReading, u *unit, h *host, need modeler.Resources) bool {
-	if !d.isLimitedByHeadroom(now, u) {
+	r := &d.headroom
+	if r.keep == 0 || r.mayPreempt(u) || !d.yieldsToUrgent(now, u) {
 		return true
 	}
-	free := h.free()
-	return d.headroom.slots-d.headroom.slotsOn(free)+d.headroom.slotsOn(free.Sub(need)) >= d.headroom.keep
+	return r.slots-r.slotsOn(h.urgentRoom)+r.slotsOn(h.urgentRoom.Sub(need)) >= r.keep
 }
 
-// useHeadroom updates the room for urgent tasks for a task that is started on a worker.
-func (d *Dispatcher) useHeadroom(h *host, need modeler.Resources) {
-	if d.headroom.keep > 0 {
-		free := h.free()
-		d.headroom.slots += d.headroom.slotsOn(free) - d.headroom.slotsOn(free.Add(need))
+// useHeadroom takes the room of a task that starts on the worker from that for urgent ones.
+func (d *Dispatcher) useHeadroom(u *unit, h *host, need modeler.Resources) {
+	r := &d.headroom
+	if r.keep == 0 || r.mayPreempt(u) {
+		return
 	}
+	r.slots -= r.slotsOn(h.urgentRoom)
+	h.urgentRoom = h.urgentRoom.Sub(need)
+	r.slots += r.slotsOn(h.urgentRoom)
 }
 
 // yieldsToUrgent reports whether a step is less urgent than others that have started
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -136,6 +136,9 @@
 	// roomSoon is what is likely to be free at some time before a permit that is
 	// requested now expires.
 	roomSoon modeler.Resources
+	// urgentRoom is what is free or used by tasks that can be preempted for urgent ones,
+	// as of the last tick and less what tasks that can't be preempted have taken since.
+	urgentRoom modeler.Resources
 	// speed is the worker's estimated speed.
 	speed speed
 	// slowSeenAt holds when each slow task on the worker was last seen to be slow,
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -41,7 +41,6 @@
 	d.examined = 0
 	d.passIsPartial = false
 	clear(d.blockedAccounts)
-	d.updateHeadroom(now)
 	for _, u := range d.sortedUnits {
 		if !u.ready || u.waiting.len() == 0 {
 			u.lacksWorkers = false
@@ -242,7 +241,7 @@
 	}
 	r := d.addRun(now, start, h, committing)
 	d.recordUrgentStart(now, u)
-	d.useHeadroom(h, r.need)
+	d.useHeadroom(u, h, r.need)
 	r.permit = u.permits[h.worker.ID].text
 	d.committing++
 	d.out.Starts = append(d.out.Starts, start)
--- a/dispatcher/rig_test.go
+++ b/dispatcher/rig_test.go
@@ -164,6 +164,11 @@
 	// The others wait in inbox.
 	eventsPerTick int
 	inbox         []scheduledEvent
+	// disabled switches decisions off, lag is added to the event lag, and asked holds the
+	// permit requests in order.
+	disabled map[dispatcher.Decision]bool
+	lag      time.Duration
+	asked    []modeler.PermitRequest
 }
 
 func newRig(t *testing.T, seed uint64) *rig {
@@ -202,6 +207,7 @@
 	r.state.Changes()
 	r.leader = dispatcher.New(r.now, r.stamp(), r.term, r.state, dispatcher.Settings{
 		MaxLease: lease, MaxStopTime: stopTime, GangTimeout: 3 * time.Second, MaxTimeOverTarget: 4 * time.Second, MaxListedEnds: r.maxListedEnds,
+		Disabled: r.disabled,
 		Log: func(event string, pairs ...any) {
 			if testing.Verbose() {
 				r.t.Log(time.Duration(r.now), event, fmt.Sprint(pairs...))
@@ -308,7 +314,7 @@
 			}
 		}
 	}
-	r.leader.SetEventLag(r.eventLag())
+	r.leader.SetEventLag(r.lag + r.eventLag())
 	if time.Duration(r.now)%(100*time.Millisecond) == 0 {
 		r.leader.Tick(r.now, r.stamp())
 	}
@@ -384,6 +390,7 @@
 			break
 		}
 		r.permitRequests++
+		r.asked = append(r.asked, ask)
 		r.schedule(ask.Timeout, func() {
 			answer := modeler.PermitAnswer{Step: ask.Step}
 			for _, id := range ask.Workers {
