--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -6,6 +6,7 @@
 
 	"goldcreststack.example/goldcreststack/accountant"
 	"goldcreststack.example/goldcreststack/modeler"
+	"goldcreststack.example/goldcreststack/profiler"
 	"goldcreststack.example/goldcreststack/sequencer"
 )
 
@@ -83,10 +84,16 @@
 	// which a step waits for the quota in the current pass of the placement.
 	ledger          *accountant.Ledger
 	blockedAccounts map[*accountant.Account]bool
-	// lateBeyondShare has the queues in which a flow beyond its share waits for room
-	// although its objective is missed.
-	lateBeyondShare map[modeler.QueueID]bool
-	services        map[modeler.ServiceName]*serviceHealth
+	// lateBeyondShare tells in which queues flows beyond their share wait although their
+	// objective is missed.
+	lateBeyondShare map[lateFlows]bool
+	// unheardCopies are counted in the ledger besides the attempts.
+	unheardCopies []unheardCopy
+	services      map[modeler.ServiceName]*serviceHealth
+	// profiler estimates the speeds of the workers; measuredSteps holds the steps with
+	// runs that it learns from at the next tick.
+	profiler      *profiler.Profiler
+	measuredSteps []*unit
 	// slowdownRange covers the queues of all flows seen so far.
 	slowdownRange slowdownRange
 	out           Output
@@ -159,10 +166,11 @@
 		changed:       true,
 		senders:       1,
 		heldBack:      make(map[modeler.FlowTask]*host),
+		profiler:      profiler.New(),
 
 		ledger:          accountant.NewLedger(settings.QuotaOverage),
 		blockedAccounts: make(map[*accountant.Account]bool),
-		lateBeyondShare: make(map[modeler.QueueID]bool),
+		lateBeyondShare: make(map[lateFlows]bool),
 		restoring:       true,
 		placeRound:      1,
 	}
@@ -172,6 +180,7 @@
 	}
 	d.settings.Log("workers taken over", "count", len(d.hostList), "term", term)
 	state.ForEachFlow(func(f *sequencer.Flow) { d.restoreFlow(now, f) })
+	d.countUnheardCopies()
 	slices.SortFunc(d.sortedUnits, compareUnits)
 	d.settings.Log("flows taken over", "count", len(d.flowUnits), "steps", len(d.units), "attempts", len(d.runs), "term", term)
 	d.restoring = false
@@ -228,7 +237,9 @@
 	for _, h := range d.hostList {
 		d.tickHost(now, h)
 	}
+	d.releaseUnheardCopies(now)
 	d.copyTasksOfUnanswered(now)
+	d.learnSpeeds()
 	d.updateReadiness(now)
 	d.updateTimeliness()
 	d.updateLateBeyondShare()
--- a/evaluator/poolday.go
+++ b/evaluator/poolday.go
@@ -205,7 +205,7 @@
 	if f.Team != "" {
 		f.BeyondShare = !d.shares.Take(d.now(), string(f.Team), d.weights[f.Team])
 	}
-	if f.BeyondShare && d.leader.IsLateBeyondShare(f.Flow.Queue) {
+	if f.BeyondShare && d.leader.IsLateBeyondShare(f.Flow.Queue, f.Team) {
 		f.submissions++
 		if f.submissions < poolSubmissions {
 			d.loop.After(time.Second, func() { d.submit(f) })
