dispatcher: log lines and the wait reason of headroom; `measure pool` without several decisions

Cause: an operator could not see that less urgent steps wait for the sake of urgent ones, and `measure pool` could not compare with several decisions switched off.

--- a/cmd/goldcreststack/measure.go
+++ b/cmd/goldcreststack/measure.go
@@ -65,7 +65,7 @@
 	var without []string
 	var decision, worker time.Duration
 	f := cmd.Flags()
-	f.StringSliceVar(&without, "without", nil, "measure only all decisions, and all without each of these")
+	f.StringSliceVar(&without, "without", nil, "measure only all decisions, and all without each of these; A+B is without both")
 	f.DurationVar(&decision, "decision", 0, "time of the outside policy for a request, instead of that in the file")
 	f.DurationVar(&worker, "perworker", 0, "its time for each worker named, with --decision")
 	f.StringVar(&file, "file", file, "JSON file with the pool and its load")
--- a/dispatcher/headroom.go
+++ b/dispatcher/headroom.go
@@ -43,8 +43,16 @@
 	// many have room in the cell or get it by preemption.
 	need        modeler.Resources
 	keep, slots int
+	// lags means that less urgent steps wait for the leader. loggedKeep and loggedLags are
+	// what was last logged, at loggedAt.
+	lags, loggedLags, loggedKeep bool
+	loggedAt                     modeler.ClockReading
 }
 
+// headroomLogInterval is the least time between two log lines about the headroom, since a
+// leader near its limits lags and catches up several times a second.
+const headroomLogInterval = time.Second
+
 // isActive reports whether urgent tasks have started lately.
 func (r *headroom) isActive(now modeler.ClockReading) bool {
 	return r.startedAt != 0 && now.Sub(r.startedAt) <= headroomIdle
@@ -66,7 +74,7 @@
 		if r.isActive(now) && priority > r.priority {
 			return
 		}
-		*r = headroom{priority: priority}
+		*r = headroom{priority: priority, loggedLags: r.loggedLags, loggedKeep: r.loggedKeep, loggedAt: r.loggedAt}
 	}
 	r.advance(now)
 	r.startedAt = now
@@ -114,7 +122,9 @@
 // to free room by preemption. It runs once a tick, since it examines all attempts.
 func (d *Dispatcher) updateHeadroom(now modeler.ClockReading) {
 	r := &d.headroom
+	defer d.logHeadroom(now)
 	r.keep, r.slots = 0, 0
+	r.lags = d.eventLag > urgentLag && r.isActive(now)
 	if !r.isActive(now) {
 		return
 	}
@@ -136,6 +146,19 @@
 	}
 }
 
+// logHeadroom writes a log line if room for urgent work begins or ceases to be kept, or if
+// less urgent steps begin or cease to wait for the leader.
+func (d *Dispatcher) logHeadroom(now modeler.ClockReading) {
+	r := &d.headroom
+	keeps := r.keep > 0
+	if keeps == r.loggedKeep && r.lags == r.loggedLags || r.loggedAt != 0 && now.Sub(r.loggedAt) < headroomLogInterval {
+		return
+	}
+	r.loggedKeep, r.loggedLags, r.loggedAt = keeps, r.lags, now
+	d.settings.Log("headroom changes", "priority", r.priority, "kept", r.keep, "room", r.slots, "processors", r.need.Processors,
+		"lags", r.lags, "lag", d.eventLag.String())
+}
+
 // mayPreempt reports whether tasks of a step can be preempted for the urgent ones.
 func (r *headroom) mayPreempt(u *unit) bool {
 	return u.policy.Priority > r.priority && u.step.Checkpoints && !u.step.Gang && !u.step.LongRunning && !u.step.Backfill
--- a/dispatcher/stats.go
+++ b/dispatcher/stats.go
@@ -127,6 +127,8 @@
 	switch {
 	case u.waitsForQuota:
 		return modeler.WaitsForQuota
+	case d.waitsForLeader(now, u):
+		return modeler.WaitsForLeader
 	case u.policy.Permits != nil && !d.hasPermit(now, u):
 		return modeler.WaitsForPermit
 	case u.beyondShare:
--- a/evaluator/pool.go
+++ b/evaluator/pool.go
@@ -262,22 +262,24 @@
 }
 
 // PoolPolicies returns the product's decisions, and the same without each of the named
-// ones, or without each one if none is named.
+// ones, or without each one if none is named. A name may join several by "+".
 func PoolPolicies(without []string) ([]PoolPolicy, error) {
-	decisions := dispatcher.Decisions
-	if len(without) > 0 {
-		decisions = nil
-	}
-	for _, name := range without {
-		x := dispatcher.Decision(name)
-		if !slices.Contains(dispatcher.Decisions, x) {
-			return nil, fmt.Errorf("there is no decision %q", name)
+	if len(without) == 0 {
+		for _, x := range dispatcher.Decisions {
+			without = append(without, string(x))
 		}
-		decisions = append(decisions, x)
 	}
 	policies := []PoolPolicy{{Name: "all"}}
-	for _, x := range decisions {
-		policies = append(policies, PoolPolicy{Name: "without " + string(x), Disabled: map[dispatcher.Decision]bool{x: true}})
+	for _, names := range without {
+		p := PoolPolicy{Name: "without " + names, Disabled: make(map[dispatcher.Decision]bool)}
+		for _, name := range strings.Split(names, "+") {
+			x := dispatcher.Decision(name)
+			if !slices.Contains(dispatcher.Decisions, x) {
+				return nil, fmt.Errorf("there is no decision %q", name)
+			}
+			p.Disabled[x] = true
+		}
+		policies = append(policies, p)
 	}
 	return policies, nil
 }
--- a/modeler/status.go
+++ b/modeler/status.go
@@ -87,6 +87,7 @@
 	WaitsForShare  WaitReason = "share"
 	WaitsForPermit WaitReason = "permit"
 	WaitsForRoom   WaitReason = "room"
+	WaitsForLeader WaitReason = "leader"
 )
 
 // StepStatus is a step of a flow with tasks that wait for workers.
