dispatcher: short requests name workers with room at once

Cause: an urgent step with a few tasks left would gather workers for half a second, of the 0.75 s that its flow may lose, and a fixed time ignores short validities.

Change: with a short decision only requests without room wait; the wait is a fifth of the validity, and does not follow a failed request.

--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -35,9 +35,10 @@
 	// fullWorkersPerTask is the number of permits per waiting task up to which a
 	// request names workers without capacity that the step has not asked about.
 	fullWorkersPerTask = 4
-	// gatherTime is how long a step that has been answered waits at most until its next
-	// request names minAsked workers: a fifth of a usual validity.
-	gatherTime = 500 * time.Millisecond
+	// gatherDivisor sets how long a step that has been answered waits at most until its
+	// next request names minAsked workers: one part in gatherDivisor of a permit's
+	// validity.
+	gatherDivisor = 5
 )
 
 // learnRate is the weight of the newest observation in a running mean.
@@ -199,15 +200,18 @@
 // shouldGather reports whether a step that holds answers waits until its next request can
 // name more workers: permits expire a few at a time, and each request costs the policy its
 // decision and the leader two messages. Workers that have room for all waiting tasks are
-// asked about at once.
+// asked about at once, and any with room if the decision is short: urgent steps have them.
 func (d *Dispatcher) shouldGather(now modeler.ClockReading, u *unit, names []modeler.WorkerID) bool {
-	if !d.uses(UsefulPermits) || u.answeredAt == 0 || now.Sub(u.answeredAt) >= gatherTime || len(names) >= minAsked {
+	if !d.uses(UsefulPermits) || u.answeredAt == 0 || len(names) >= minAsked || now.Sub(u.answeredAt) >= u.policy.Permits.Validity/gatherDivisor {
 		return false
 	}
 	need, tasks := neededBy(u.step), 0
 	for _, id := range names {
 		tasks += d.taskCapacity(now, u, d.hosts[id], need)
 	}
+	if u.policy.Permits.Decision <= slowDecision {
+		return tasks == 0
+	}
 	return tasks < u.waiting.len()
 }
 
@@ -301,12 +305,12 @@
 		return
 	}
 	d.clearAsked(u)
-	u.answeredAt = now
 	if a.Failed {
 		u.nextAskAt = now.Add(askRetryInterval)
 		d.settings.Log("permit question failed", "request", a.Step.Flow, "step", a.Step.Step, "took", a.Elapsed.String())
 		return
 	}
+	u.answeredAt = now
 	validity := a.Validity
 	if validity == 0 {
 		validity = u.policy.Permits.Validity
