dispatcher: permit requests are paced

Reports that fill the cell were not the cause: urgent steps found room after 0.12 s. Change: a step asks again after half of its queue's latency at the earliest, and steps that are not urgent ask 50 times a second together. Tried and dropped: only steps next in line for room ask; no gain with the usual policy.

--- a/dispatcher/decision.go
+++ b/dispatcher/decision.go
@@ -26,6 +26,8 @@
 	Runtimes Decision = "learned run times"
 	// PermitsAhead asks for the permits of a step before it is ready.
 	PermitsAhead Decision = "permits ahead"
+	// PaceRequests bounds how often steps ask for permits.
+	PaceRequests Decision = "paced requests"
 	// PriorityFirst puts steps beyond the share of their account behind others of the same
 	// priority only, and not behind less urgent ones.
 	PriorityFirst Decision = "priority before share"
@@ -36,7 +38,7 @@
 )
 
 // Decisions lists all decisions that can be switched off.
-var Decisions = []Decision{HoldPermits, Reserve, Preempt, Copy, Quarantine, Timeliness, Speed, PermitsAhead, VictimSlack, Runtimes, PriorityFirst, UsefulPermits, Headroom}
+var Decisions = []Decision{HoldPermits, Reserve, Preempt, Copy, Quarantine, Timeliness, Speed, PermitsAhead, VictimSlack, Runtimes, PriorityFirst, PaceRequests, UsefulPermits, Headroom}
 
 // uses reports whether a decision is not switched off.
 func (d *Dispatcher) uses(x Decision) bool { return !d.settings.Disabled[x] }
--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -71,7 +71,7 @@
 		if !(u.ready && (u.lacksWorkers || len(u.permits) == 0)) && !(u.isReadySoon && len(u.permits)+len(u.denied) == 0) {
 			continue
 		}
-		if d.waitsForLeader(now, u) {
+		if d.waitsForLeader(now, u) || !u.isUrgent() && now < d.nextRequestAt {
 			continue
 		}
 		names := d.chooseWorkersToAsk(now, u)
@@ -80,6 +80,7 @@
 			continue
 		}
 		d.markAsked(u, names)
+		d.paceRequests(now, u)
 		policy := u.policy.Permits
 		within := policy.Decision + time.Duration(len(names))*policy.Worker
 		return modeler.PermitRequest{Step: u.key, Workers: names, Timeout: within}, true
@@ -87,6 +88,30 @@
 	return modeler.PermitRequest{}, false
 }
 
+const (
+	// requestIntervalDivisor sets the least time between two permit requests of a step: one
+	// part in requestIntervalDivisor of the time that its callers allow beyond the run time.
+	// With a policy that answers fast, steps that wait would otherwise ask for each worker
+	// as its room becomes free.
+	requestIntervalDivisor = 2
+	// requestPause is the least time between two requests of steps that are not urgent:
+	// each answer costs the leader a pass of the placement, and 50 answers a second leave
+	// most of a small core to urgent steps.
+	requestPause = 20 * time.Millisecond
+)
+
+// paceRequests bounds how often a step, and all steps that are not urgent, ask for
+// permits.
+func (d *Dispatcher) paceRequests(now modeler.ClockReading, u *unit) {
+	if !d.uses(PaceRequests) {
+		return
+	}
+	u.nextAskAt = now.Add(min(u.policy.Latency, u.policy.Permits.Validity) / requestIntervalDivisor)
+	if !u.isUrgent() {
+		d.nextRequestAt = max(d.nextRequestAt, now.Add(-requestPause)).Add(requestPause)
+	}
+}
+
 // markAsked records that a permit request with the given workers is open.
 func (d *Dispatcher) markAsked(u *unit, names []modeler.WorkerID) {
 	u.isAsking = true
@@ -306,7 +331,7 @@
 	}
 	d.clearAsked(u)
 	if a.Failed {
-		u.nextAskAt = now.Add(askRetryInterval)
+		u.nextAskAt = max(u.nextAskAt, now.Add(askRetryInterval))
 		d.settings.Log("permit question failed", "request", a.Step.Flow, "step", a.Step.Step, "took", a.Elapsed.String())
 		return
 	}
