--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -134,6 +134,12 @@
 	health
 	// openPermitRequests counts the open permit requests that name the worker.
 	openPermitRequests int
+	// roomSoon is what is likely to be free at some time before a permit that is
+	// requested now expires.
+	roomSoon modeler.Resources
+	// urgentRoom is what is free or used by tasks that can be preempted for urgent ones,
+	// as of the last tick and less what tasks that can't be preempted have taken since.
+	urgentRoom modeler.Resources
 	// speed is what is known of the worker's speed.
 	speed *profiler.Worker
 	// slowSeenAt holds when each slow task on the worker was last seen to be slow,
--- a/dispatcher/rig_test.go
+++ b/dispatcher/rig_test.go
@@ -167,6 +167,11 @@
 	// The others wait in inbox.
 	eventsPerTick int
 	inbox         []scheduledEvent
+	// disabled switches decisions off, lag is added to the event lag, and asked holds the
+	// permit requests in order.
+	disabled map[dispatcher.Decision]bool
+	lag      time.Duration
+	asked    []modeler.PermitRequest
 	// quotas holds the quotas that each account has had, with the times at which they
 	// came into force.
 	quotas map[modeler.TeamName][]quotaAt
@@ -209,6 +214,7 @@
 	r.state.Changes()
 	r.leader = dispatcher.New(r.now, r.stamp(), r.term, r.state, dispatcher.Settings{
 		MaxLease: lease, MaxStopTime: stopTime, GangTimeout: 3 * time.Second, MaxTimeOverTarget: 4 * time.Second, MaxListedEnds: r.maxListedEnds,
+		Disabled:     r.disabled,
 		QuotaOverage: quotaOverage,
 		Log: func(event string, pairs ...any) {
 			if testing.Verbose() {
@@ -316,7 +322,7 @@
 			}
 		}
 	}
-	r.leader.SetEventLag(r.eventLag())
+	r.leader.SetEventLag(r.lag + r.eventLag())
 	if time.Duration(r.now)%(100*time.Millisecond) == 0 {
 		r.leader.Tick(r.now, r.stamp())
 	}
@@ -392,6 +398,7 @@
 			break
 		}
 		r.permitRequests++
+		r.asked = append(r.asked, ask)
 		r.schedule(ask.Timeout, func() {
 			answer := modeler.PermitAnswer{Step: ask.Step}
 			for _, id := range ask.Workers {
