--- a/cmd/goldcreststack/measure.go
+++ b/cmd/goldcreststack/measure.go
@@ -7,6 +7,7 @@
 	"github.com/spf13/cobra"
 
 	"goldcreststack.example/goldcreststack/evaluator"
+	"goldcreststack.example/goldcreststack/modeler"
 )
 
 // measurement is a result of the evaluator that can be printed as text.
@@ -18,7 +19,7 @@
 		Short: "Measure placement, waiting, the log and its files on this machine",
 		Long: "Measure runs the project's own measurements in this process. Nothing is sent over the network.\n\n" +
 			"Random inputs come from a fixed seed that is printed, and --seed sets another. Times depend on the machine\n" +
-			"and on GOMAXPROCS; the figures of day, pool, waiting and shares don't.",
+			"and on GOMAXPROCS; the figures of day, pool, interference, waiting and shares don't.",
 		Example: "  goldcreststack measure day\n" +
 			"  GOMAXPROCS=1 goldcreststack measure placement --workers 48,500 --json",
 		Args: cobra.NoArgs,
@@ -28,6 +29,7 @@
 		newMeasurePlacement(),
 		newMeasureDay(),
 		newMeasurePool(),
+		newMeasureInterference(),
 		newMeasureWaiting(),
 		newMeasureShares(),
 		newMeasureLog(),
@@ -73,6 +75,29 @@
 	})
 }
 
+func newMeasureInterference() *cobra.Command {
+	s := evaluator.DefaultInterference()
+	span := s.Length.Std()
+	cmd := &cobra.Command{
+		Use:   "interference",
+		Short: "Measure how well tasks that slow each other down are found and kept apart",
+		Long: "Interference plays random days in which it is known which images slow each other down, with each mode. It prints\n" +
+			"the precision and recall of the pairs that are believed, and by how much tasks are slowed down in the second half.",
+		Example: "  goldcreststack measure interference\n  goldcreststack measure interference --seeds 3 --span 1m --json",
+	}
+	f := cmd.Flags()
+	f.IntVar(&s.Seeds, "seeds", s.Seeds, "number of days, each with a seed of its own")
+	f.DurationVar(&span, "span", span, "length of a day")
+	f.IntVar(&s.Workers, "workers", s.Workers, "number of workers, at least 3")
+	f.IntVar(&s.Images, "images", s.Images, "number of images")
+	f.IntVar(&s.Pairs, "pairs", s.Pairs, "number of pairs of images that slow each other down")
+	f.Float64Var(&s.Load, "load", s.Load, "share of the cores that tasks ask for")
+	return measureCommand(cmd, func() (measurement, error) {
+		s.Length = modeler.Duration(span)
+		return evaluator.MeasureInterference(s)
+	})
+}
+
 func newMeasurePlacement() *cobra.Command {
 	s := evaluator.DefaultPlacement()
 	cmd := &cobra.Command{
--- a/controller/query.go
+++ b/controller/query.go
@@ -67,10 +67,28 @@
 	}
 	s.Services = l.serviceStatuses()
 	s.Tasks.Waiting, s.Tasks.Running = l.cell.Stats().Waiting, l.taskSupervisor.AttemptCount()
+	s.Interference = l.worstPairs()
 	l.listJobs(now, s)
 	return s
 }
 
+// worstPairs lists the believed pairs of images with the largest slowdowns.
+func (l *leadership) worstPairs() []modeler.PairStatus {
+	if l.flows == nil {
+		return nil
+	}
+	var out []modeler.PairStatus
+	for _, e := range l.flows.cell.Interference(statusPairs).Worst {
+		if e.Believed {
+			out = append(out, modeler.PairStatus{Image: e.Image, Beside: e.Beside, Cores: e.Size.Cores(), Slowdown: e.Slowdown, Error: e.Error})
+		}
+	}
+	return out
+}
+
+// statusPairs bounds the pairs of images in a status.
+const statusPairs = 10
+
 func (l *leadership) workerSummary() modeler.WorkerSummary {
 	stats := l.cell.Stats()
 	s := modeler.WorkerSummary{
--- a/controller/report.go
+++ b/controller/report.go
@@ -12,6 +12,7 @@
 
 	"goldcreststack.example/goldcreststack/allocator"
 	"goldcreststack.example/goldcreststack/classifier"
+	"goldcreststack.example/goldcreststack/dispatcher"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/reporter"
 	"goldcreststack.example/goldcreststack/supervisor"
@@ -93,10 +94,12 @@
 	Behind modeler.Duration `json:"behind"`
 	// Carried counts the orders that other processes carry, Carriers counts those
 	// processes, and Refuses reports whether new flows are refused.
-	Carried  int                    `json:"carried"`
-	Carriers int                    `json:"carriers"`
-	Refuses  bool                   `json:"refuses"`
-	Members  []modeler.MemberStatus `json:"members"`
+	Carried  int  `json:"carried"`
+	Carriers int  `json:"carriers"`
+	Refuses  bool `json:"refuses"`
+	// Interference counts the pairs of images; Flows lists the worst.
+	Interference dispatcher.InterferenceStats `json:"-"`
+	Members      []modeler.MemberStatus       `json:"members"`
 	// Quorum is set on the leader.
 	Quorum *modeler.QuorumStatus `json:"quorum,omitempty"`
 	// LostElection is the newest election that the member has not won.
@@ -162,6 +165,7 @@
 		v.Quorum = &quorum
 		v.Running = c.leader.taskSupervisor.AttemptCount()
 		if flows := c.leader.flows; flows != nil {
+			v.Interference = flows.cell.Interference(0)
 			v.Carried, v.Carriers, v.Refuses = flows.carrier.PendingOrders(), flows.carrier.ReadyProcesses(), flows.refusesFlows
 		}
 	}
@@ -203,6 +207,8 @@
 	gauge("behind_seconds", func(v coreView) float64 { return v.Behind.Std().Seconds() })
 	gauge("carried_orders", func(v coreView) float64 { return float64(v.Carried) })
 	gauge("carriers", func(v coreView) float64 { return float64(v.Carriers) })
+	gauge("interference_pairs", func(v coreView) float64 { return float64(v.Interference.Pairs) })
+	gauge("interference_believed", func(v coreView) float64 { return float64(v.Interference.Believed) })
 	gauge("refuses_flows", func(v coreView) float64 { return boolGauge(v.Refuses) })
 	quorumGauge := func(name string, value func(*modeler.QuorumStatus) int) {
 		gauge(name, func(v coreView) float64 {
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -266,7 +266,7 @@
 		Flows: &controller.FlowSettings{
 			Bounds: dispatcher.Settings{
 				MaxLease: node.MaxLease, MaxStopTime: node.MaxStopTime, GangTimeout: node.GangTimeout, MaxTimeOverTarget: node.MaxTimeOverTarget,
-				MaxListedEnds: platform.MaxListedEnds, QuotaOverage: node.QuotaOverage,
+				MaxListedEnds: platform.MaxListedEnds, QuotaOverage: node.QuotaOverage, Interference: node.Interference,
 				Log: func(event string, pairs ...any) { p.report.Info(event, pairs...) },
 			},
 			Send: p.client.Send,
--- a/interference/interference.go
+++ b/interference/interference.go
@@ -41,6 +41,9 @@
 	return Size(math.Round(math.Log2(max(float64(p)/1000, 0.01))))
 }
 
+// Cores returns the number of cores in the middle of the class.
+func (s Size) Cores() float64 { return math.Exp2(float64(s)) }
+
 // Pair is an image, another one beside it, and the size of the workers that they share. The
 // estimate is kept by size, since a pair may be harmless on large workers.
 type Pair struct {
--- a/modeler/status.go
+++ b/modeler/status.go
@@ -52,6 +52,20 @@
 	Hidden int `json:"hidden,omitempty"`
 	// Records counts the stored records of at-most-once requests.
 	Records int `json:"records"`
+	// Interference lists the images that are slowed down most by others on the same worker.
+	Interference []PairStatus `json:"interference,omitempty"`
+}
+
+// PairStatus is an image that another one slows down on workers of one size.
+type PairStatus struct {
+	Image  ImageName `json:"image"`
+	Beside ImageName `json:"beside"`
+	// Cores is the middle of the size class of the workers.
+	Cores float64 `json:"cores"`
+	// Slowdown is the factor by which runs take longer, and Error the standard error of its
+	// logarithm.
+	Slowdown float64 `json:"slowdown"`
+	Error    float64 `json:"error"`
 }
 
 // MemberStatus is a member's state as the leader knows it.
--- a/operator/report.go
+++ b/operator/report.go
@@ -198,6 +198,12 @@
 	if a.Hidden > 0 {
 		fmt.Fprintf(out, "%d more jobs are not listed\n", a.Hidden)
 	}
+	if len(a.Interference) > 0 {
+		fmt.Fprintln(out, "\nIMAGE\tSLOWED BY\tWORKERS\tSLOWDOWN")
+	}
+	for _, p := range a.Interference {
+		fmt.Fprintf(out, "%s\t%s\tabout %.3g cores\t%.2f\n", p.Image, p.Beside, p.Cores, p.Slowdown)
+	}
 }
 
 func printMembers(out io.Writer, members []modeler.MemberStatus, pending bool) {
