--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"goldcreststack.example/goldcreststack/modeler"
+	"goldcreststack.example/goldcreststack/profiler"
 )
 
 const (
@@ -133,8 +134,8 @@
 	health
 	// openPermitRequests counts the open permit requests that name the worker.
 	openPermitRequests int
-	// speed is the worker's estimated speed.
-	speed speed
+	// speed is what is known of the worker's speed.
+	speed *profiler.Worker
 	// departures holds the last attempts that have ended there.
 	departures departures
 	// slowSeenAt holds when each slow task on the worker was last seen to be slow,
@@ -206,6 +207,7 @@
 		heardAt:     now,
 		announcedAt: now,
 		renewAt:     now,
+		speed:       d.profiler.AddWorker(kindOf(&m)),
 	}
 	if m.Leaving {
 		h.leaveAt = now.Add(m.Remaining)
@@ -233,6 +235,7 @@
 		return
 	}
 	delete(d.hosts, id)
+	d.profiler.RemoveWorker(h.speed)
 	d.hostList = slices.DeleteFunc(d.hostList, func(other *host) bool { return other == h })
 	d.setAddress(h, h.worker.Address, "")
 }
--- a/dispatcher/interference.go
+++ b/dispatcher/interference.go
@@ -72,7 +72,7 @@
 	d.matrix.Observe(now, interference.Run{
 		Image: r.image, Step: u.key, Task: r.task.Index,
 		Worker: r.host.worker.ID, Size: interference.SizeOf(r.host.worker.Capacity.Processors),
-		Deviation: deviation, Neighbours: d.neighbours(r, min(took, u.expectedRuntime())),
+		Deviation: deviation, Neighbours: d.neighbours(r, min(took, u.expectedRuntimeOn(r.host))),
 	})
 }
 
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -39,11 +39,11 @@
 	attempt modeler.Attempt
 	host    *host
 	unit    *unit
-	// need is what the attempt reserves on its worker, and account the one in whose
-	// need is what the attempt reserves on its worker, and account the one in whose
-	// quota it counts, or nil.
+	// need is what the attempt reserves on its worker, and charge what it takes of the
+	// quota of account, which may be nil.
 	need    modeler.Resources
 	account *accountant.Account
+	charge  accountant.Charge
 	// image is what the attempt runs.
 	image  modeler.ImageName
 	phase  phase
@@ -156,7 +156,7 @@
 		generationState: newGenerationState(now),
 	}
 	if step := d.step(start.Task); step != nil {
-		r.need = neededBy(step)
+		r.need, r.charge = neededBy(step), chargeOf(step)
 		r.image = step.Image
 	}
 	if f, found := d.state.Flow(start.Task.Flow); found {
@@ -164,7 +164,7 @@
 	}
 	h.runs[r.task] = r
 	h.used = h.used.Add(r.need)
-	r.account.Add(r.need)
+	r.account.Add(r.charge)
 	d.runs[r.task] = r
 	if r.unit != nil {
 		r.unit.countRun(h, 1)
@@ -208,7 +208,7 @@
 		delete(r.host.runs, r.task)
 		d.recordDeparture(r)
 		r.host.used = r.host.used.Sub(r.need)
-		r.account.Remove(r.need)
+		r.account.Remove(r.charge)
 		if r.unsized {
 			r.host.unsized--
 		}
@@ -567,7 +567,7 @@
 	if step.Gang || step.Backfill {
 		return false
 	}
-	return now.Sub(r.progressAt) > stallAfter+r.unit.expectedRuntime()/20
+	return now.Sub(r.progressAt) > stallAfter+r.unit.expectedRuntimeOn(r.host)/20
 }
 
 // handleEnded applies a committed end.
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -7,6 +7,7 @@
 
 	"goldcreststack.example/goldcreststack/accountant"
 	"goldcreststack.example/goldcreststack/modeler"
+	"goldcreststack.example/goldcreststack/profiler"
 	"goldcreststack.example/goldcreststack/sequencer"
 )
 
@@ -70,17 +71,23 @@
 	// placeRound is the round of placement in which the unit was last tried.
 	placeRound uint64
 	// doneTasks counts the completed tasks of the step, and doneRuntime is the mean
-	// logarithm of their run times.
+	// logarithm of their run times, relative to the speeds of their workers.
 	doneTasks   int
 	doneRuntime float64
+	// measured holds the runs of the step that the profiler has not learned from, and
+	// baseLog is the logarithm of the run time that they are compared with.
+	measured []profiler.Run
+	baseLog  float64
 	// learned is the count of the queue's run times that the deadlines rest on.
 	learned int
 	// account is the one that the flow belongs to, or nil. waitsForQuota means that the
-	// step waits until more of its quota is free, and quotaWaitLogged that it was logged
-	// that the step has waited so.
-	account         *accountant.Account
-	waitsForQuota   bool
-	quotaWaitLogged bool
+	// step waits until more of its quota is free, since quotaSince. quotaWaited is how
+	// long it has waited so before, and quotaLines counts the waits that were logged.
+	account       *accountant.Account
+	waitsForQuota bool
+	quotaSince    modeler.ClockReading
+	quotaWaited   time.Duration
+	quotaLines    int
 	// beyondShare means that the step goes behind those of accounts within their share.
 	beyondShare bool
 }
@@ -414,5 +421,5 @@
 		rest := took*time.Duration(100-r.percent)/time.Duration(r.percent) - now.Sub(r.progressAt)
 		return max(rest, 0)
 	}
-	return max(r.unit.expectedRuntime()-now.Sub(r.startedAt), 0)
+	return max(r.unit.expectedRuntimeOn(r.host)-now.Sub(r.startedAt), 0)
 }
