--- a/cmd/goldcreststack/measure_test.go
+++ b/cmd/goldcreststack/measure_test.go
@@ -31,6 +31,10 @@
 	measure(&waiting, "waiting", "--loads", "0.5", "--span", "100ms", "--seed", "3")
 	assert.Equal(t, waiting.Settings.Seed, uint64(3))
 	assert.Equal(t, len(waiting.Points), 12)
+	var found evaluator.Interference
+	measure(&found, "interference", "--seeds", "1", "--span", "5s", "--pairs", "2")
+	assert.Equal(t, found.Settings.Pairs, 2)
+	assert.Equal(t, len(found.Runs), 3)
 	var shares evaluator.Shares
 	measure(&shares, "shares", "--span", "100ms", "--seed", "3")
 	assert.Equal(t, len(shares.Points), 23)
--- a/interference/evidence.go
+++ b/interference/evidence.go
@@ -11,9 +11,11 @@
 
 const (
 	// beliefThreshold is the value that the evidence of a pair has to reach. Without
-	// interference its expected value is 1 at most at any time, so it reaches 1000 in one of a
-	// thousand pairs at most, however long and often it is looked at (Ville's inequality).
-	beliefThreshold = 1000.0
+	// interference its expected value is 1 at most at any time, so it reaches 3000 in one of
+	// 3000 pairs at most, however long and often it is looked at (Ville's inequality). One in a
+	// thousand is allowed; the rest is for what makes the orders of runs not quite equally
+	// likely, such as errors of the levels of workers. With 1000, 3 of 3,840 were believed.
+	beliefThreshold = 3000.0
 	// minWorkers is the number of workers on which a pair must have been slow: on a single one
 	// the worker itself may be the reason.
 	minWorkers = 3
