--- a/dispatcher/interference.go
+++ b/dispatcher/interference.go
@@ -69,9 +69,8 @@
 	if !d.isComparable(now, u, r) {
 		return
 	}
-	d.matrix.Observe(now, interference.Run{
-		Image: r.image, Step: u.key, Task: r.task.Index,
-		Worker: r.host.worker.ID, Size: interference.SizeOf(r.host.worker.Capacity.Processors),
+	d.matrix.Observe(now, r.image, u.key, interference.Run{
+		Task: r.task.Index, Worker: r.host.worker.ID, Size: interference.SizeOf(r.host.worker.Capacity.Processors),
 		Deviation: deviation, Neighbours: d.neighbours(r, min(took, u.expectedRuntimeOn(r.host))),
 	})
 }
--- a/interference/group.go
+++ b/interference/group.go
@@ -16,20 +16,30 @@
 	runs     []Run
 }
 
-// byWorker returns a group with one run for each worker: that of the first task there, the
+// byWorker reduces the group to one run for each worker: that of the first task there, the
 // worker with most tasks first. Runs of a step on the same worker share whatever slows the worker
 // down, so they are no evidence on their own. Their median would not do either: it is spread
 // less than single runs, and where run times are skewed it is on another side of them.
 func (g *group) byWorker() *group {
-	count := make(map[modeler.WorkerID]int)
-	for i := range g.runs {
-		count[g.runs[i].Worker]++
-	}
-	out := &group{image: g.image, step: g.step, runs: slices.Clone(g.runs)}
-	slices.SortFunc(out.runs, func(a, b Run) int {
-		return cmp.Or(count[b.Worker]-count[a.Worker], cmp.Compare(a.Worker, b.Worker), cmp.Compare(a.Task, b.Task))
+	slices.SortFunc(g.runs, func(a, b Run) int {
+		return cmp.Or(cmp.Compare(a.Worker, b.Worker), cmp.Compare(a.Task, b.Task))
 	})
-	out.runs = slices.CompactFunc(out.runs, func(a, b Run) bool { return a.Worker == b.Worker })
+	out := &group{image: g.image, runs: g.runs[:0]}
+	most, mostRuns := 0, 0
+	for from := 0; from < len(g.runs); {
+		to := from + 1
+		for to < len(g.runs) && g.runs[to].Worker == g.runs[from].Worker {
+			to++
+		}
+		if to-from > mostRuns {
+			most, mostRuns = len(out.runs), to-from
+		}
+		out.runs = append(out.runs, g.runs[from])
+		from = to
+	}
+	if len(out.runs) > 0 {
+		out.runs[0], out.runs[most] = out.runs[most], out.runs[0]
+	}
 	return out
 }
 
--- a/interference/interference.go
+++ b/interference/interference.go
@@ -62,8 +62,6 @@
 
 // Run is a completed run of a task.
 type Run struct {
-	Image  modeler.ImageName
-	Step   modeler.StepKey
 	Task   modeler.TaskIndex
 	Worker modeler.WorkerID
 	Size   Size
--- a/interference/interference_test.go
+++ b/interference/interference_test.go
@@ -141,11 +141,11 @@
 	w.tasks = rest
 	for _, t := range ended {
 		took := p.seconds - t.began + tick
-		r := interference.Run{Image: t.image, Step: t.step, Task: t.index, Worker: w.id, Size: interference.SizeOf(w.processors), Deviation: math.Log(took)}
+		r := interference.Run{Task: t.index, Worker: w.id, Size: interference.SizeOf(w.processors), Deviation: math.Log(took)}
 		for image, met := range t.met {
 			r.Neighbours = append(r.Neighbours, interference.Neighbour{Image: image, Share: min(met/min(took, 1), 1)})
 		}
-		p.matrix.Observe(p.now(), r)
+		p.matrix.Observe(p.now(), t.image, t.step, r)
 	}
 }
 
@@ -316,13 +316,12 @@
 	random := rand.New(rand.NewPCG(1, 1))
 	for i := range 60_000 {
 		r := interference.Run{
-			Image: image(random.IntN(700)), Step: modeler.StepKey{Occurrence: modeler.Occurrence(i / 4)},
 			Worker: modeler.WorkerID(fmt.Sprint(random.IntN(20_000))), Deviation: random.NormFloat64(),
 		}
 		for range 3 {
 			r.Neighbours = append(r.Neighbours, interference.Neighbour{Image: image(random.IntN(700)), Share: random.Float64()})
 		}
-		m.Observe(modeler.ClockReading(i)*modeler.ClockReading(time.Millisecond), r)
+		m.Observe(modeler.ClockReading(i)*modeler.ClockReading(time.Millisecond), image(i/4*31%701), modeler.StepKey{Occurrence: modeler.Occurrence(i / 4)}, r)
 		assert.Assert(t, m.Pairs() <= 8192 && m.OpenRuns() <= 8192)
 	}
 }
--- a/interference/matrix.go
+++ b/interference/matrix.go
@@ -15,6 +15,8 @@
 	// maxGroup bounds the runs of one step that are compared with each other; further ones form
 	// the next group.
 	maxGroup = 64
+	// initialGroup is the number of runs for which a group has room at first.
+	initialGroup = 12
 	// groupTimeout is how long a group waits for further runs of its step.
 	groupTimeout = time.Minute
 	// maxOpenRuns bounds the runs in groups that are not closed: some 3 MB.
@@ -77,19 +79,19 @@
 	}
 }
 
-// Observe adds a completed run. It counts once its step is closed.
-func (m *Matrix) Observe(now modeler.ClockReading, r Run) {
+// Observe adds a completed run of a step of an image. It counts once the step is closed.
+func (m *Matrix) Observe(now modeler.ClockReading, image modeler.ImageName, step modeler.StepKey, r Run) {
 	m.now = now
-	g := m.steps[r.Step]
+	g := m.steps[step]
 	if g == nil {
-		g = &group{image: r.Image, step: r.Step, openedAt: now}
-		m.steps[r.Step] = g
+		g = &group{image: image, step: step, openedAt: now, runs: make([]Run, 0, initialGroup)}
+		m.steps[step] = g
 		m.open = append(m.open, g)
 	}
 	g.runs = append(g.runs, r)
 	m.openRuns++
 	if len(g.runs) >= maxGroup {
-		m.CloseStep(now, r.Step)
+		m.CloseStep(now, step)
 	}
 	for m.openRuns > maxOpenRuns {
 		m.CloseStep(now, m.open[0].step)
@@ -142,22 +144,22 @@
 	if len(warm.runs) > 1 {
 		m.test(warm)
 	}
-	m.addToMixed(warm.runs[0])
+	m.addToMixed(g.image, warm.runs[0])
 }
 
 // addToMixed adds a run to the group that compares steps of its image.
-func (m *Matrix) addToMixed(r Run) {
-	g := m.mixed[r.Image]
+func (m *Matrix) addToMixed(image modeler.ImageName, r Run) {
+	g := m.mixed[image]
 	if g == nil {
 		if len(m.mixed) >= maxImages {
 			clear(m.mixed)
 		}
-		g = &group{image: r.Image}
-		m.mixed[r.Image] = g
+		g = &group{image: image}
+		m.mixed[image] = g
 	}
 	g.runs = append(g.runs, r)
 	if len(g.runs) >= mixedGroup {
-		delete(m.mixed, r.Image)
+		delete(m.mixed, image)
 		m.test(g)
 	}
 }
@@ -165,12 +167,12 @@
 // updateLevels learns how fast the workers of a step are, and returns its runs on those workers
 // whose level was known before.
 func (m *Matrix) updateLevels(g *group) *group {
-	warm := &group{image: g.image, step: g.step}
+	warm := &group{image: g.image}
 	relative := make([]float64, len(g.runs))
 	for i := range g.runs {
 		r := g.runs[i]
 		l := m.level(r.Worker)
-		relative[i] = r.Deviation - m.knownSlowdown(&r) - l.mean
+		relative[i] = r.Deviation - m.knownSlowdown(g.image, &r) - l.mean
 		if l.weight >= coldWeight {
 			r.Deviation -= l.mean
 			warm.runs = append(warm.runs, r)
@@ -202,13 +204,13 @@
 }
 
 // knownSlowdown returns the logarithm of the slowdown of a run by the pairs that are believed.
-func (m *Matrix) knownSlowdown(r *Run) float64 {
-	if m.involved[r.Image] == 0 {
+func (m *Matrix) knownSlowdown(image modeler.ImageName, r *Run) float64 {
+	if m.involved[image] == 0 {
 		return 0
 	}
 	sum := 0.0
 	for _, n := range r.Neighbours {
-		sum += n.Share * m.Slowdown(r.Image, n.Image, r.Size)
+		sum += n.Share * m.Slowdown(image, n.Image, r.Size)
 	}
 	return sum
 }
@@ -218,7 +220,7 @@
 func (m *Matrix) test(g *group) {
 	deviations := make([]float64, len(g.runs))
 	for i := range g.runs {
-		deviations[i] = g.runs[i].Deviation - m.knownSlowdown(&g.runs[i])
+		deviations[i] = g.runs[i].Deviation - m.knownSlowdown(g.image, &g.runs[i])
 	}
 	ranks := rankScores(deviations)
 	for _, p := range g.besides() {
