--- a/controller/query.go
+++ b/controller/query.go
@@ -67,6 +67,7 @@
 	}
 	s.Services = l.serviceStatuses()
 	s.Tasks.Waiting, s.Tasks.Running = l.cell.Stats().Waiting, l.taskSupervisor.AttemptCount()
+	s.Interference = l.worstPairs()
 	l.listJobs(now, s)
 	if l.flows != nil {
 		l.flows.addStatus(now, s)
@@ -74,6 +75,23 @@
 	return s
 }
 
+// worstPairs lists the believed pairs of images with the largest slowdowns.
+func (l *leadership) worstPairs() []modeler.PairStatus {
+	if l.flows == nil {
+		return nil
+	}
+	var out []modeler.PairStatus
+	for _, e := range l.flows.cell.Interference(statusPairs).Worst {
+		if e.Believed {
+			out = append(out, modeler.PairStatus{Image: e.Image, Beside: e.Beside, Cores: e.Size.Cores(), Slowdown: e.Slowdown, Error: e.Error})
+		}
+	}
+	return out
+}
+
+// statusPairs bounds the pairs of images in a status.
+const statusPairs = 10
+
 // addStatus adds the accounts and the first waiting steps of flows.
 func (l *flowLeadership) addStatus(now modeler.ClockReading, s *modeler.Status) {
 	stats := l.cell.Stats(now)
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -142,6 +142,8 @@
 	urgentRoom modeler.Resources
 	// speed is what is known of the worker's speed.
 	speed *profiler.Worker
+	// departures holds the last attempts that have ended there.
+	departures departures
 	// slowSeenAt holds when each slow task on the worker was last seen to be slow,
 	// and slowedDown whether that task was faster before.
 	slowSeenAt map[modeler.FlowTask]modeler.ClockReading
