--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -117,7 +117,8 @@
 	// searchStart is the index in hostList at which the next search for workers to
 	// ask about begins.
 	searchStart int
-	// nextRequestAt is when a step that is not urgent may ask for permits again.
+	// nextRequestAt is when the requests of steps that are not urgent would have been sent at
+	// their mean rate.
 	nextRequestAt modeler.ClockReading
 	// hasBeyondShare means that a step beyond its account's share waits for permits.
 	hasBeyondShare bool
--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -71,7 +71,7 @@
 		if !(u.ready && (u.lacksWorkers || len(u.permits) == 0)) && !(u.isReadySoon && len(u.permits)+len(u.denied) == 0) {
 			continue
 		}
-		if d.waitsForLeader(now, u) || !u.isUrgent() && now < d.nextRequestAt {
+		if d.waitsForLeader(now, u) || !u.isUrgent() && now.Add(requestBurst) < d.nextRequestAt {
 			continue
 		}
 		names := d.chooseWorkersToAsk(now, u)
@@ -94,10 +94,11 @@
 	// With a policy that answers fast, steps that wait would otherwise ask for each worker
 	// as its room becomes free.
 	requestIntervalDivisor = 2
-	// requestPause is the least time between two requests of steps that are not urgent:
+	// requestPause is the mean time between two requests of steps that are not urgent:
 	// each answer costs the leader a pass of the placement, and 50 answers a second leave
-	// most of a small core to urgent steps.
+	// most of a small core to urgent steps. Requests of requestBurst may be sent at once.
 	requestPause = 20 * time.Millisecond
+	requestBurst = time.Second
 )
 
 // paceRequests bounds how often a step, and all steps that are not urgent, ask for
@@ -108,7 +109,7 @@
 	}
 	u.nextAskAt = now.Add(min(u.policy.Latency, u.policy.Permits.Validity) / requestIntervalDivisor)
 	if !u.isUrgent() {
-		d.nextRequestAt = max(d.nextRequestAt, now.Add(-requestPause)).Add(requestPause)
+		d.nextRequestAt = max(d.nextRequestAt, now).Add(requestPause)
 	}
 }
 
--- a/dispatcher/permit_test.go
+++ b/dispatcher/permit_test.go
@@ -105,3 +105,27 @@
 	assert.Assert(t, found)
 	assert.Equal(t, ask.Step.Flow, modeler.FlowID("b"))
 }
+
+// Guards against steps that wait in a full cell and ask a policy that answers fast for each
+// worker as its room becomes free: the answers take the leader's time from urgent steps.
+func TestRequestsArePaced(t *testing.T) {
+	var counts []int
+	for _, disabled := range []map[dispatcher.Decision]bool{nil, {dispatcher.PaceRequests: true}} {
+		r := newRig(t, 9)
+		r.disabled = disabled
+		r.electLeader()
+		r.addWorkers(60, 16)
+		r.allowed = func(_ modeler.StepKey, id modeler.WorkerID) bool { return id[2]%3 == 0 }
+		r.run(2 * time.Second)
+		for i := range 400 {
+			f := flow(modeler.FlowID(fmt.Sprintf("f%03d", i)), step(20, 4, time.Duration(500+100*(i%3))*time.Millisecond))
+			f.Policy.Permits = &modeler.PermitPolicy{Decision: 5 * time.Millisecond, Worker: 50 * time.Microsecond, Validity: 2500 * time.Millisecond}
+			f.Policy.Latency, f.Policy.Slowdown = 1200*time.Millisecond, 5
+			r.submit(f)
+		}
+		r.run(10 * time.Second)
+		counts = append(counts, len(r.asked))
+	}
+	// Requests of one second may be sent at once, 50 a second follow.
+	assert.Check(t, counts[0] <= 550 && counts[0] < counts[1]/2, "%d requests, %d without the decision", counts[0], counts[1])
+}
