dispatcher: fast workers for the work that gains most there

Which work got fast workers followed from the slowdown factors of the queues alone: a step that has plenty of time left preferred them like one that is about to be late.

A step's preference now compares what its task is likely to lose on a slow worker of the cell, by its deadlines and the uncertainty of its run time, for each processor and second, with what the tasks that were started lately would lose there. In a cell with much room this price is low. The assumed spread of a cell counts less once many workers are known, so that nothing changes where workers are alike.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -92,9 +92,10 @@
 	// runs that it learns from at the next tick.
 	profiler      *profiler.Profiler
 	measuredSteps []*unit
-	// slowdownRange covers the queues of all flows seen so far.
-	slowdownRange slowdownRange
-	out           Output
+	// demand tells what room on fast workers is worth.
+	demand   demand
+	tickedAt modeler.ClockReading
+	out      Output
 	// changed means that the state has changed since the last placement.
 	changed bool
 	// examined counts the workers examined in the current pass of the placement, which
@@ -232,6 +233,8 @@
 	}
 	d.copyTasksOfUnanswered(now)
 	d.learnSpeeds()
+	d.demand.update(now.Sub(d.tickedAt), d.hostList)
+	d.tickedAt = now
 	d.updateReadiness(now)
 	d.updateTimeliness()
 	d.updateLateBeyondShare()
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -238,6 +238,7 @@
 	r.permit = u.permits[h.worker.ID].text
 	d.committing++
 	d.out.Starts = append(d.out.Starts, start)
+	d.countDemand(u)
 	return r
 }
 
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -78,6 +78,9 @@
 	// baseLog is the logarithm of the run time that they are compared with.
 	measured []profiler.Run
 	baseLog  float64
+	// preference is the step's speedPreference at preferenceAt.
+	preference   float64
+	preferenceAt modeler.Timestamp
 	// learned is the count of the queue's run times that the deadlines rest on.
 	learned int
 	// account is the one that the flow belongs to, or nil. waitsForQuota means that the
@@ -104,7 +107,6 @@
 	if !found || f.IsOver() || d.flowUnits[id] != nil {
 		return
 	}
-	d.slowdownRange.include(&f.Spec.Policy)
 	fl := &flowUnits{flow: f}
 	d.flowUnits[id] = fl
 	d.addOccurrences(now, fl)
--- a/profiler/profiler.go
+++ b/profiler/profiler.go
@@ -74,6 +74,9 @@
 	p.workers = slices.DeleteFunc(p.workers, func(other *Worker) bool { return other == w })
 }
 
+// Spread returns the standard deviation of the slowness of the cell's workers.
+func (p *Profiler) Spread() float64 { return math.Sqrt(p.spread.other.variance) }
+
 func (p *Profiler) queue(id modeler.QueueID) *queue {
 	q := p.queues[id]
 	if q == nil {
--- a/profiler/spread.go
+++ b/profiler/spread.go
@@ -2,9 +2,11 @@
 
 const (
 	// initialSpread is the variance of the workers' slowness that a cell is assumed to
-	// have until its workers have shown it. It counts for initialWorkers workers.
+	// have until its workers have shown it. Its weight is that of initialWorkers workers
+	// at first, and falls as more are known, so that nothing of it is left in a large cell
+	// of workers that are alike.
 	initialSpread  = 0.2 * 0.2
-	initialWorkers = 1.0
+	initialWorkers = 4.0
 	// minSpread is the least variance of the workers' slowness: a hundredth of the speed.
 	minSpread = 0.01 * 0.01
 	// minKind is the number of workers of a kind from which it has a mean of its own.
@@ -123,7 +125,8 @@
 	// A second estimate, weighted by the first, is less subject to workers with many
 	// samples.
 	found = excess(groups, found)
-	return max((found*degrees+initialSpread*initialWorkers)/(degrees+initialWorkers), minSpread)
+	initial := initialWorkers * initialWorkers / (initialWorkers + degrees)
+	return max((found*degrees+initialSpread*initial)/(degrees+initial), minSpread)
 }
 
 // excess returns by how much the means within the groups differ more than their variances
