--- a/applier/applier.go
+++ b/applier/applier.go
@@ -129,6 +129,8 @@
 	case modeler.RecordWorkers:
 		a.flows.RecordDepartures(a.now, c.Left)
 		return a.flows.UpdateWorkers(c.Announcements, c.Departures())
+	case modeler.RecordLearned:
+		return a.flows.RecordLearned(c.Learned)
 	default:
 		return modeler.Result{Kind: classifier.Internal, Detail: fmt.Sprintf("unknown command kind %d", c.Kind)}
 	}
--- a/controller/flows.go
+++ b/controller/flows.go
@@ -177,6 +177,11 @@
 			l.core.controller.settings.Report.Warn("departed workers are not recorded", "count", len(out.Departed), "error", err)
 		}
 	}
+	if out.Learned != nil {
+		if err := l.core.propose(now, &modeler.Command{Kind: modeler.RecordLearned, Learned: out.Learned}, nil); err != nil {
+			l.core.controller.settings.Report.Warn("learned speeds are not recorded", "error", err)
+		}
+	}
 	l.ask(now)
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -41,6 +41,9 @@
 	Ends   []modeler.FlowEnd
 	// Departed lists workers to remove from the replicated state.
 	Departed []modeler.WorkerDeparture
+	// Learned is to be proposed to the replicated log, if it is not nil. If it is lost,
+	// it is listed again.
+	Learned *modeler.Learned
 }
 
 // Dispatcher is the leader's state of workers and attempts; it is not
@@ -97,7 +100,11 @@
 	// demand tells what room on fast workers is worth.
 	demand   demand
 	tickedAt modeler.ClockReading
-	out      Output
+	// recordedAt is when what was learned was last listed to be recorded, and
+	// recordedHost the index in hostList of the worker that was looked at last.
+	recordedAt   modeler.ClockReading
+	recordedHost int
+	out          Output
 	// changed means that the state has changed since the last placement.
 	changed bool
 	// examined counts the workers examined in the current pass of the placement, which
@@ -176,6 +183,7 @@
 		d.addHost(now, m)
 	}
 	d.settings.Log("workers taken over", "count", len(d.hostList), "term", term)
+	d.restoreLearned()
 	state.ForEachFlow(func(f *sequencer.Flow) { d.restoreFlow(now, f) })
 	d.countUnheardCopies()
 	slices.SortFunc(d.sortedUnits, compareUnits)
@@ -237,6 +245,7 @@
 	d.releaseUnheardCopies(now)
 	d.copyTasksOfUnanswered(now)
 	d.learnSpeeds()
+	d.recordLearned(now)
 	d.demand.update(now.Sub(d.tickedAt), d.hostList)
 	d.tickedAt = now
 	d.updateReadiness(now)
--- a/dispatcher/rig_test.go
+++ b/dispatcher/rig_test.go
@@ -156,6 +156,9 @@
 	finishedAt     map[modeler.FlowID]modeler.ClockReading
 	failures       map[modeler.FlowTask]int
 	permitRequests int
+	// onLearned sees what the leader wants to have recorded, and reports whether that is
+	// committed; nil means always.
+	onLearned func(*modeler.Learned) bool
 	// orderDelay is how long orders wait at the leader before they are sent, as on
 	// a busy leader after its election.
 	orderDelay time.Duration
@@ -363,6 +366,11 @@
 			r.commit(func() { r.state.UpdateWorkers(nil, out.Departed) })
 		})
 	}
+	if out.Learned != nil && (r.onLearned == nil || r.onLearned(out.Learned)) {
+		r.schedule(r.commitTime, func() {
+			r.commit(func() { r.state.RecordLearned(out.Learned) })
+		})
+	}
 	if len(out.Starts) > 0 {
 		r.schedule(r.commitTime, func() {
 			r.deliver(func() {
--- a/evaluator/poolday.go
+++ b/evaluator/poolday.go
@@ -200,6 +200,9 @@
 		d.loop.After(d.settings.Network.Std(), func() { d.deliver(o) })
 	}
 	commit := d.settings.Commit.Std()
+	if out.Learned != nil {
+		d.afterAs(commit, func(*dispatcher.Dispatcher) { d.state.RecordLearned(out.Learned) })
+	}
 	if len(out.Starts) > 0 {
 		d.afterAs(commit, func(leader *dispatcher.Dispatcher) {
 			d.commit(func() { d.state.RecordStarts(out.Starts) })
--- a/modeler/command.go
+++ b/modeler/command.go
@@ -27,6 +27,7 @@
 	StartFlows
 	EndFlows
 	RecordWorkers
+	RecordLearned
 )
 
 // Command is one entry of the replicated log; only the fields that belong to
@@ -58,6 +59,7 @@
 	// DepartedGenerations holds the generations of the workers in Departed; newer ones
 	// stay. Entries of earlier builds lack it.
 	DepartedGenerations []Generation `cbor:"20,keyasint,omitempty"`
+	Learned             *Learned     `cbor:"21,keyasint,omitempty"`
 }
 
 // WorkerDeparture is the loss of a worker's generation, and of earlier ones.
--- a/profiler/profiler_test.go
+++ b/profiler/profiler_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/profiler"
 )
 
@@ -176,3 +177,69 @@
 		c.runSteps(1)
 	}
 }
+
+// restored returns a cell like c with a new profiler that knows the records of the old one.
+func (c *cell) restored() *cell {
+	out := *c
+	out.Profiler = profiler.New()
+	out.workers = nil
+	records := make(map[*profiler.Worker]profiler.Record)
+	for _, w := range c.workers {
+		fresh := out.AddWorker("")
+		out.workers = append(out.workers, fresh)
+		records[fresh] = w.Record()
+	}
+	out.RestoreQueue("q", c.QueueRecord("q"))
+	out.RestoreWorkers(records)
+	return &out
+}
+
+// Guards against a new leader whose estimates differ from those of the earlier one, or that
+// learns worse with records than the earlier one with all samples.
+func TestRestored(t *testing.T) {
+	for _, steps := range []int{0, 6, 24, 200} {
+		c := newCell(3, 60, []float64{0.7, 0.7, 1.7}, nil)
+		c.outliers = 0.03
+		c.runSteps(steps)
+		r := c.restored()
+		for i, w := range c.workers {
+			off := math.Abs(w.Slowness() - r.workers[i].Slowness())
+			assert.Check(t, off < 0.1+w.Deviation()/2, "after %d steps: slowness %.3f, restored as %.3f", steps, w.Slowness(), r.workers[i].Slowness())
+		}
+		r.runSteps(200)
+		mean, worst := r.miss()
+		assert.Check(t, mean < 1.08 && worst < 1.25, "after %d steps: off by %.3f, at worst by %.3f", steps, mean, worst)
+	}
+	// Two long runs in a row are still outliers, and a worker that changes is known anew.
+	c := newCell(4, 60, []float64{1}, nil)
+	c.runSteps(200)
+	r := c.restored()
+	for range 2 {
+		r.Learn("q", []profiler.Run{{Worker: r.workers[0], Deviation: math.Log(7)}})
+	}
+	assert.Check(t, r.workers[0].Slowness() < 0.15, "two long runs make the slowness %.3f", r.workers[0].Slowness())
+	c = newCell(4, 60, []float64{0.7, 0.7, 1.7}, nil)
+	c.runSteps(200)
+	r = c.restored()
+	usual := r.workers[3].Slowness()
+	r.speeds[0] *= 0.4
+	for r.runs[0] = 0; r.runs[0] < 16; {
+		r.runSteps(1)
+	}
+	got := math.Exp(usual - r.workers[0].Slowness())
+	assert.Check(t, got > 0.4/1.3 && got < 0.4*1.3, "0.4 times as fast as before is taken for %.2f", got)
+}
+
+// Guards against records that no profiler has made and that make all estimates useless.
+func TestInvalidRecords(t *testing.T) {
+	c := newCell(5, 10, []float64{1}, nil)
+	c.RestoreWorkers(map[*profiler.Worker]profiler.Record{
+		c.workers[0]: {Count: 3, Mean: math.NaN(), Variance: 1},
+		c.workers[1]: {Count: 3, Mean: 1},
+		c.workers[2]: {Count: -1, Mean: 1, Variance: 1},
+	})
+	c.RestoreQueue("q", profiler.QueueRecord{Noise: modeler.LearnedMean{Mean: math.Inf(1), Weight: 1}, Step: modeler.LearnedMean{Mean: -1, Weight: 1}})
+	c.runSteps(100)
+	mean, _ := c.miss()
+	assert.Check(t, mean < 1.1, "off by %.3f", mean)
+}
--- a/sequencer/sequencer.go
+++ b/sequencer/sequencer.go
@@ -186,6 +186,7 @@
 	departures map[modeler.WorkerID]DepartedWorker
 	endedFlow  []endedFlow
 	changes    []Change
+	learned    learned
 }
 
 // DepartedWorker is the last generation of a worker that has left permanently.
@@ -204,6 +205,7 @@
 		pending:    make(map[modeler.QueueID]int),
 		departures: make(map[modeler.WorkerID]DepartedWorker),
 		openOf:     make(map[modeler.TeamName]int),
+		learned:    newLearned(),
 	}
 }
 
@@ -306,6 +308,7 @@
 	former := s.formerAccounts(l)
 	s.layout = *l
 	s.layout.Former = former
+	s.learned.keepQueues(l)
 	s.recordChange(Change{Kind: LayoutChanged})
 	return modeler.Result{}
 }
@@ -561,6 +564,7 @@
 			s.departures[id] = DepartedWorker{Worker: id, Generation: m.Generation, DepartedAt: now}
 		}
 		delete(s.workers, id)
+		delete(s.learned.workers, id)
 		s.recordChange(Change{Kind: WorkerDeparted, Worker: id})
 	}
 }
@@ -777,6 +781,9 @@
 		if known && m.Generation == held.Generation && held.Leaving {
 			m.Leaving = true
 		}
+		if m.Generation != held.Generation {
+			delete(s.learned.workers, m.ID)
+		}
 		s.workers[m.ID] = m
 		s.recordChange(Change{Kind: WorkerUpdated, Worker: m.ID})
 	}
@@ -784,6 +791,7 @@
 		held, known := s.workers[gone.Worker]
 		if known && (gone.Generation == 0 || held.Generation <= gone.Generation) {
 			delete(s.workers, gone.Worker)
+			delete(s.learned.workers, gone.Worker)
 			s.recordChange(Change{Kind: WorkerDeparted, Worker: gone.Worker})
 		}
 	}
--- a/sequencer/snapshot.go
+++ b/sequencer/snapshot.go
@@ -13,6 +13,10 @@
 	Flows    []Flow                       `cbor:"2,keyasint"`
 	Workers  []modeler.WorkerAnnouncement `cbor:"3,keyasint"`
 	Departed []DepartedWorker             `cbor:"4,keyasint,omitempty"`
+	// LearnedWorkers and LearnedQueues are missing in snapshots of releases that kept
+	// them on the leader only.
+	LearnedWorkers []modeler.LearnedWorker `cbor:"5,keyasint,omitempty"`
+	LearnedQueues  []modeler.LearnedQueue  `cbor:"6,keyasint,omitempty"`
 }
 
 // TakeSnapshot returns a copy of the state that can be encoded while the state changes.
@@ -31,6 +35,12 @@
 	for _, l := range s.departures {
 		out.Departed = append(out.Departed, l)
 	}
+	for _, w := range s.learned.workers {
+		out.LearnedWorkers = append(out.LearnedWorkers, w)
+	}
+	for _, q := range s.learned.queues {
+		out.LearnedQueues = append(out.LearnedQueues, q)
+	}
 	return out
 }
 
@@ -47,6 +57,8 @@
 	slices.SortFunc(s.Flows, func(a, b Flow) int { return cmp.Compare(a.Spec.ID, b.Spec.ID) })
 	slices.SortFunc(s.Workers, func(a, b modeler.WorkerAnnouncement) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(s.Departed, func(a, b DepartedWorker) int { return cmp.Compare(a.Worker, b.Worker) })
+	slices.SortFunc(s.LearnedWorkers, func(a, b modeler.LearnedWorker) int { return cmp.Compare(a.Worker, b.Worker) })
+	slices.SortFunc(s.LearnedQueues, func(a, b modeler.LearnedQueue) int { return cmp.Compare(a.Queue, b.Queue) })
 }
 
 // Restore replaces the state with the content of a snapshot.
@@ -77,4 +89,5 @@
 	for _, l := range saved.Departed {
 		s.departures[l.Worker] = l
 	}
+	s.RecordLearned(&modeler.Learned{Workers: saved.LearnedWorkers, Queues: saved.LearnedQueues})
 }
