dispatcher: run times of the last task of a flow are learned

Cause: the end of a flow is reported before that of its last task, whose unit is then dropped, so queues of flows with one task never learned anything. Change: the unit is taken from the attempt. Result: 20 flows of one task teach their queue 20 run times; before the change 0.

--- a/dispatcher/learned_test.go
+++ b/dispatcher/learned_test.go
@@ -107,3 +107,20 @@
 	}
 	r.run(10 * time.Second)
 }
+
+// Guards against queues whose run times are never learned because their flows have a single
+// task: the end of the flow is reported before that of its last task.
+func TestLearnsFromLastTasks(t *testing.T) {
+	r := newRig(t, 36)
+	layout := modeler.Layout{Number: 1, Queues: []modeler.Queue{{Host: "q"}}}
+	r.commit(func() { r.state.SetLayout(&layout) })
+	r.addWorkers(8, 8)
+	r.run(time.Second)
+	for i := range 20 {
+		r.submit(flow(modeler.FlowID(fmt.Sprint("f", i)), step(1, 2, 500*time.Millisecond)))
+		r.run(100 * time.Millisecond)
+	}
+	r.run(10 * time.Second)
+	queue, _ := r.state.LearnedQueue("q")
+	assert.Equal(t, queue.Count, 20)
+}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -583,6 +583,9 @@
 		d.logTask("task ended", e.Task, e.Attempt, workerIDOf(r), "end", e.Kind.String())
 	}
 	u := d.units[e.Task.StepKey()]
+	if e.Kind == modeler.EndDone {
+		d.learnEnd(now, u, r)
+	}
 	if u == nil {
 		return
 	}
@@ -592,9 +595,6 @@
 		}
 		u.failedOn[e.Task.Index] = r.host.worker.ID
 	}
-	if e.Kind == modeler.EndDone && r != nil && r.startedAt != 0 && !r.predatesLeader {
-		d.learnRuntime(u, r, now.Sub(r.startedAt))
-	}
 	u.updateWaiting(e.Task.Index)
 	if e.Kind == modeler.EndDone {
 		d.markFollowersReady(now, u)
@@ -605,6 +605,20 @@
 	}
 }
 
+// learnEnd learns from an attempt that is done. The unit of a flow's last task is dropped
+// before the task's end is handled, and then nil.
+func (d *Dispatcher) learnEnd(now modeler.ClockReading, u *unit, r *run) {
+	if r == nil || r.startedAt == 0 || r.predatesLeader {
+		return
+	}
+	if u == nil {
+		u = r.unit
+	}
+	if u != nil {
+		d.learnRuntime(u, r, now.Sub(r.startedAt))
+	}
+}
+
 // stopGang stops all members of a gang that can't be complete any more.
 func (d *Dispatcher) stopGang(now modeler.ClockReading, u *unit, attempt modeler.Attempt, why string) {
 	if attempt <= u.brokenAttempt {
