dispatcher: overdue tasks are copied

Cause: a flow waited for a single attempt that took several times as long as expected, although its step allows copies. Change: an attempt that is slow on a worker which is not at fault is also started elsewhere if that is expected to gain more than it costs, judging by what earlier copies of the queue have gained; only on free room that no step waits for, one task in eight of a step at once, at most two per task and within the number of failures of the queue.

--- a/dispatcher/decision.go
+++ b/dispatcher/decision.go
@@ -29,10 +29,12 @@
 	// PriorityFirst puts steps beyond the share of their account behind others of the same
 	// priority only, and not behind less urgent ones.
 	PriorityFirst Decision = "priority before share"
+	// Overdue copies attempts that take far longer than was expected.
+	Overdue Decision = "overdue runs"
 )
 
 // Decisions lists all decisions that can be switched off.
-var Decisions = []Decision{HoldPermits, Reserve, Preempt, Copy, Quarantine, Timeliness, Speed, PermitsAhead, VictimSlack, Runtimes, PriorityFirst}
+var Decisions = []Decision{HoldPermits, Reserve, Preempt, Copy, Quarantine, Timeliness, Speed, PermitsAhead, VictimSlack, Runtimes, PriorityFirst, Overdue}
 
 // uses reports whether a decision is not switched off.
 func (d *Dispatcher) uses(x Decision) bool { return !d.settings.Disabled[x] }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -82,7 +82,9 @@
 	runs         map[modeler.FlowTask]*run
 	abandoned    map[modeler.FlowTask][]*run
 	proposedEnds map[attemptID]*run
-	queues       map[modeler.QueueID]*queueStats
+	// moves holds the copies of overdue tasks that are not done.
+	moves  map[modeler.FlowTask]*move
+	queues map[modeler.QueueID]*queueStats
 	// ledger holds what each account has running. blockedAccounts has the accounts of
 	// which a step waits for the quota in the current pass of the placement.
 	ledger          *accountant.Ledger
@@ -144,6 +146,8 @@
 	// learned from.
 	runtimes runtimes
 	learned  int
+	// gains tells whether moves of its overdue tasks have paid.
+	gains gains
 }
 
 // New returns the dispatcher of a new leader, built from the committed state.
@@ -165,6 +169,7 @@
 		hostsAt:       make(map[string][]*host),
 		abandoned:     make(map[modeler.FlowTask][]*run),
 		proposedEnds:  make(map[attemptID]*run),
+		moves:         make(map[modeler.FlowTask]*move),
 		queues:        make(map[modeler.QueueID]*queueStats),
 		services:      make(map[modeler.ServiceName]*serviceHealth),
 		changed:       true,
@@ -244,6 +249,7 @@
 	}
 	d.releaseUnheardCopies(now)
 	d.copyTasksOfUnanswered(now)
+	d.forgetMoves()
 	d.learnSpeeds()
 	d.recordLearned(now)
 	d.demand.update(now.Sub(d.tickedAt), d.hostList)
--- /dev/null
+++ b/dispatcher/overdue_test.go
@@ -0,0 +1,150 @@
+package dispatcher_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"goldcreststack.example/goldcreststack/modeler"
+)
+
+// newOverdueRig returns a rig that knows the run times of its queue.
+func newOverdueRig(t *testing.T, seed uint64) *rig {
+	r := newRig(t, seed)
+	r.addWorkers(12, 16)
+	r.run(time.Second)
+	r.submitMany("usual", 30, time.Second)
+	r.run(5 * time.Second)
+	return r
+}
+
+// submitCopyable submits flows of ten tasks of 1 s that may run in copies, one in each
+// interval, and returns when each was submitted.
+func (r *rig) submitCopyable(prefix string, count, attempts int, interval time.Duration) map[modeler.FlowID]modeler.ClockReading {
+	out := make(map[modeler.FlowID]modeler.ClockReading)
+	for i := range count {
+		f := flow(modeler.FlowID(fmt.Sprintf("%s%03d", prefix, i)), copyableStep(10, 2, time.Second))
+		f.Policy.Attempts = attempts
+		r.submit(f)
+		out[f.ID] = r.now
+		r.run(interval)
+	}
+	return out
+}
+
+// copies returns how many tasks of flows with the prefix were started more than once, and
+// the most starts of one of them.
+func (r *rig) copies(submitted map[modeler.FlowID]modeler.ClockReading) (int, int) {
+	n, most := 0, 0
+	for task, starts := range r.starts {
+		if _, found := submitted[task.Flow]; found && starts > 1 {
+			n++
+			most = max(most, starts)
+		}
+	}
+	return n, most
+}
+
+// longFirstAttempt returns the delay of a task whose first attempt takes 7 times as long:
+// one task in 30.
+func longFirstAttempt(task modeler.FlowTask, attempt modeler.Attempt) int {
+	var number int
+	if _, err := fmt.Sscanf(string(task.Flow), "f%d", &number); err == nil && (number*10+int(task.Index))%30 == 0 && attempt == 1 {
+		return 7
+	}
+	return 1
+}
+
+// Guards against flows that wait for a single attempt that takes 7 times as long, although
+// a copy elsewhere is done much earlier.
+func TestOverdueTasksAreCopied(t *testing.T) {
+	for seed := range uint64(5) {
+		r := newOverdueRig(t, seed)
+		r.delay = longFirstAttempt
+		submitted := r.submitCopyable("f", 60, 3, 400*time.Millisecond)
+		r.run(10 * time.Second)
+		for id, at := range submitted {
+			assert.Check(t, r.flowState(id) == modeler.FlowCompleted)
+			took := r.finishedAt[id].Sub(at)
+			assert.Check(t, took < 4*time.Second, "seed %d: %s took %v", seed, id, took)
+		}
+		n, most := r.copies(submitted)
+		assert.Check(t, n == 20 && most == 2, "seed %d: %d tasks were copied, one was started %d times", seed, n, most)
+	}
+}
+
+// Guards against copies that gain nothing: of tasks that take long wherever they run, and
+// of steps whose estimate was wrong.
+func TestCopiesThatDontPay(t *testing.T) {
+	for seed := range uint64(3) {
+		r := newOverdueRig(t, seed)
+		r.delay = func(task modeler.FlowTask, _ modeler.Attempt) int {
+			if task.Index == 3 {
+				return 7
+			}
+			return 1
+		}
+		// A worker with long tasks of two flows at once would be quarantined.
+		submitted := r.submitCopyable("f", 60, 3, 9*time.Second)
+		n, most := r.copies(submitted)
+		assert.Check(t, n < 25 && most == 2, "seed %d: %d of 60 long tasks were copied, one was started %d times", seed, n, most)
+
+		r = newOverdueRig(t, seed)
+		r.delay = func(task modeler.FlowTask, _ modeler.Attempt) int {
+			if task.Flow == "f000" {
+				return 6
+			}
+			return 1
+		}
+		submitted = r.submitCopyable("f", 1, 3, 0)
+		r.run(20 * time.Second)
+		n, _ = r.copies(submitted)
+		assert.Check(t, n <= 2, "seed %d: %d of 10 tasks of a long step were copied", seed, n)
+	}
+}
+
+// Guards against copies of steps that don't allow them, and against copies beyond the
+// number of failures that the queue allows.
+func TestCopiesAreAllowed(t *testing.T) {
+	for _, attempts := range []int{1, 2} {
+		r := newOverdueRig(t, 7)
+		r.delay = longFirstAttempt
+		submitted := r.submitCopyable("f", 1, attempts, 400*time.Millisecond)
+		r.run(10 * time.Second)
+		n, _ := r.copies(submitted)
+		assert.Check(t, (n > 0) == (attempts > 1), "%d tasks with %d attempts were copied", n, attempts)
+	}
+	r := newOverdueRig(t, 8)
+	r.delay = longFirstAttempt
+	r.submit(flow("f000", step(10, 2, time.Second)))
+	r.run(10 * time.Second)
+	for task, n := range r.starts {
+		assert.Check(t, n == 1, "%v was started %d times", task, n)
+	}
+}
+
+// Guards against an overdue attempt that a new leader loses: both attempts go on, and the
+// first one that is done completes the task.
+func TestOverdueCopyAcrossLeaders(t *testing.T) {
+	r := newOverdueRig(t, 9)
+	r.delay = longFirstAttempt
+	submitted := r.submitCopyable("f", 1, 3, 0)
+	for range 300 {
+		if n, _ := r.copies(submitted); n > 0 {
+			break
+		}
+		r.run(tick)
+	}
+	r.electLeader()
+	r.run(10 * time.Second)
+	assert.Equal(t, r.flowState("f000"), modeler.FlowCompleted)
+	took := r.finishedAt["f000"].Sub(submitted["f000"])
+	assert.Check(t, took < 5*time.Second, "took %v", took)
+	n, most := r.copies(submitted)
+	assert.Check(t, n == 1 && most == 2, "%d tasks were copied, one was started %d times", n, most)
+	for _, w := range r.sortedWorkers() {
+		assert.Equal(t, len(w.running), 0, "%s", w.announcement.ID)
+	}
+}
--- a/dispatcher/rig_test.go
+++ b/dispatcher/rig_test.go
@@ -127,7 +127,9 @@
 	permits       bool
 	allowed       func(unit modeler.StepKey, id modeler.WorkerID) bool
 	fails         func(task modeler.FlowTask, attempt modeler.Attempt) bool
-	paused        bool
+	// delay returns how many times longer than its estimate an attempt takes.
+	delay  func(task modeler.FlowTask, attempt modeler.Attempt) int
+	paused bool
 	// lateOrdersSurviveRestart lets a new generation of a worker carry out late
 	// orders that were sent to an earlier one. Until the leader knows of the new
 	// generation and its next order arrives there, nothing could stop a late order; it
@@ -717,6 +719,9 @@
 			f, found := r.state.Flow(task.Flow)
 			longRunning := found && len(f.Spec.Steps) > 0 && f.Spec.Steps[task.Step].LongRunning
 			did := tick / time.Duration(max(w.slowdown, 1))
+			if r.delay != nil {
+				did /= time.Duration(r.delay(task, j.attempt))
+			}
 			if w.speed > 0 {
 				did = time.Duration(w.speed * float64(did))
 			}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -578,6 +578,7 @@
 	}
 	if e.Kind == modeler.EndDone {
 		delete(d.heldBack, e.Task)
+		d.learnMove(now, e)
 		d.stopCopies(now, e.Task)
 	} else {
 		d.logTask("task ended", e.Task, e.Attempt, workerIDOf(r), "end", e.Kind.String())
--- a/dispatcher/slow.go
+++ b/dispatcher/slow.go
@@ -61,7 +61,8 @@
 }
 
 // handleSlowRuns quarantines a worker on which several tasks are slow, and stops the
-// slow tasks on a quarantined worker that other workers are likely to finish earlier.
+// slow tasks on a quarantined worker that other workers are likely to finish earlier. On
+// other workers they are copied.
 func (d *Dispatcher) handleSlowRuns(now modeler.ClockReading, h *host) {
 	if len(h.slowRuns) == 0 {
 		return
@@ -70,6 +71,7 @@
 		d.quarantineHost(now, h, "its tasks are slow")
 	}
 	if !h.isQuarantined(now) {
+		d.copyOverdue(now, h)
 		return
 	}
 	for _, s := range h.slowRuns {
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -78,6 +78,8 @@
 	// baseLog is the logarithm of the run time that they are compared with.
 	measured []profiler.Run
 	baseLog  float64
+	// moving counts the overdue tasks of the step that were moved and are not done.
+	moving int
 	// preference is the step's speedPreference at preferenceAt.
 	preference   float64
 	preferenceAt modeler.Timestamp
