dispatcher: overdue tasks that don't allow copies are restarted elsewhere

Cause: a flow waited for a single attempt that took several times as long as expected. Change: such an attempt is stopped, and its task starts on another worker with free room, if that is expected to end earlier than waiting by what earlier restarts in the queue have gained. A restart that is overdue as well counts as a loss, and its task is not moved again. The bounds of copies and the disruption budget of the step apply.

--- a/dispatcher/decision.go
+++ b/dispatcher/decision.go
@@ -29,7 +29,7 @@
 	// PriorityFirst puts steps beyond the share of their account behind others of the same
 	// priority only, and not behind less urgent ones.
 	PriorityFirst Decision = "priority before share"
-	// Overdue copies attempts that take far longer than was expected.
+	// Overdue copies or moves attempts that take far longer than was expected.
 	Overdue Decision = "overdue runs"
 )
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -82,7 +82,7 @@
 	runs         map[modeler.FlowTask]*run
 	abandoned    map[modeler.FlowTask][]*run
 	proposedEnds map[attemptID]*run
-	// moves holds the copies of overdue tasks that are not done.
+	// moves holds the newest moves of overdue tasks that are not done.
 	moves  map[modeler.FlowTask]*move
 	queues map[modeler.QueueID]*queueStats
 	// ledger holds what each account has running. blockedAccounts has the accounts of
@@ -146,8 +146,8 @@
 	// learned from.
 	runtimes runtimes
 	learned  int
-	// gains tells whether moves of its overdue tasks have paid.
-	gains gains
+	// copies and restarts tell whether moves of its overdue tasks have paid.
+	copies, restarts gains
 }
 
 // New returns the dispatcher of a new leader, built from the committed state.
--- a/dispatcher/rig_test.go
+++ b/dispatcher/rig_test.go
@@ -127,6 +127,8 @@
 	permits       bool
 	allowed       func(unit modeler.StepKey, id modeler.WorkerID) bool
 	fails         func(task modeler.FlowTask, attempt modeler.Attempt) bool
+	// events counts the log lines by event.
+	events map[string]int
 	// delay returns how many times longer than its estimate an attempt takes.
 	delay  func(task modeler.FlowTask, attempt modeler.Attempt) int
 	paused bool
@@ -191,6 +193,7 @@
 		taskStart:            make(map[modeler.FlowTask]modeler.ClockReading),
 		finishedAt:           make(map[modeler.FlowID]modeler.ClockReading),
 		failures:             make(map[modeler.FlowTask]int),
+		events:               make(map[string]int),
 
 		doneAt:       make(map[modeler.FlowStart]modeler.ClockReading),
 		lastStart:    make(map[modeler.FlowTask]modeler.ClockReading),
@@ -216,6 +219,7 @@
 		MaxLease: lease, MaxStopTime: stopTime, GangTimeout: 3 * time.Second, MaxTimeOverTarget: 4 * time.Second, MaxListedEnds: r.maxListedEnds,
 		QuotaOverage: quotaOverage,
 		Log: func(event string, pairs ...any) {
+			r.events[event]++
 			if testing.Verbose() {
 				r.t.Log(time.Duration(r.now), event, fmt.Sprint(pairs...))
 			}
--- a/dispatcher/slow.go
+++ b/dispatcher/slow.go
@@ -62,7 +62,7 @@
 
 // handleSlowRuns quarantines a worker on which several tasks are slow, and stops the
 // slow tasks on a quarantined worker that other workers are likely to finish earlier. On
-// other workers they are copied.
+// other workers they are moved if that has paid in their queue.
 func (d *Dispatcher) handleSlowRuns(now modeler.ClockReading, h *host) {
 	if len(h.slowRuns) == 0 {
 		return
@@ -71,7 +71,7 @@
 		d.quarantineHost(now, h, "its tasks are slow")
 	}
 	if !h.isQuarantined(now) {
-		d.copyOverdue(now, h)
+		d.moveOverdue(now, h)
 		return
 	}
 	for _, s := range h.slowRuns {
