--- a/cmd/goldcreststack/measure.go
+++ b/cmd/goldcreststack/measure.go
@@ -7,6 +7,7 @@
 	"github.com/spf13/cobra"
 
 	"goldcreststack.example/goldcreststack/evaluator"
+	"goldcreststack.example/goldcreststack/modeler"
 )
 
 // measurement is a result of the evaluator that can be printed as text.
@@ -18,7 +19,7 @@
 		Short: "Measure placement, waiting, the log and its files on this machine",
 		Long: "Measure runs the project's own measurements in this process. Nothing is sent over the network.\n\n" +
 			"Random inputs come from a fixed seed that is printed, and --seed sets another. Times depend on the machine\n" +
-			"and on GOMAXPROCS; the figures of day, pool, waiting and shares don't.",
+			"and on GOMAXPROCS; the figures of day, pool, interference, waiting and shares don't.",
 		Example: "  goldcreststack measure day\n" +
 			"  GOMAXPROCS=1 goldcreststack measure placement --workers 48,500 --json",
 		Args: cobra.NoArgs,
@@ -28,6 +29,7 @@
 		newMeasurePlacement(),
 		newMeasureDay(),
 		newMeasurePool(),
+		newMeasureInterference(),
 		newMeasureWaiting(),
 		newMeasureShares(),
 		newMeasureLog(),
@@ -58,10 +60,16 @@
 		Short: "Run random days of one pool with and without each scheduling decision",
 		Long: "Pool reads the workers and the load of a pool from a file and runs the same random days with the leader's\n" +
 			"decisions and without each of them. It prints the share of the worth that callers get, by queue and over the\n" +
-			"day, and a bound that no policy can exceed.",
-		Example: "  goldcreststack measure pool\n  goldcreststack measure pool --file pool.json --seeds 5 --json",
+			"day, the time until the first task and the permit requests of a flow, and a bound that no policy can exceed.",
+		Example: "  goldcreststack measure pool\n  goldcreststack measure pool --file pool.json --seeds 5 --json\n" +
+			"  goldcreststack measure pool --without headroom --decision 5ms --perworker 50us",
 	}
+	var without []string
+	var decision, worker time.Duration
 	f := cmd.Flags()
+	f.StringSliceVar(&without, "without", nil, "measure only all decisions, and all without each of these; A+B is without both")
+	f.DurationVar(&decision, "decision", 0, "time of the outside policy for a request, instead of that in the file")
+	f.DurationVar(&worker, "perworker", 0, "its time for each worker named, with --decision")
 	f.StringVar(&file, "file", file, "JSON file with the pool and its load")
 	f.IntVar(&seeds, "seeds", seeds, "number of days, each with a seed of its own")
 	return measureCommand(cmd, func() (measurement, error) {
@@ -69,7 +77,37 @@
 		if err != nil {
 			return nil, err
 		}
-		return evaluator.MeasurePool(file, s, evaluator.PoolPolicies(), seeds)
+		if decision > 0 {
+			s.SetPermitTime(decision, worker)
+		}
+		policies, err := evaluator.PoolPolicies(without)
+		if err != nil {
+			return nil, err
+		}
+		return evaluator.MeasurePool(file, s, policies, seeds)
+	})
+}
+
+func newMeasureInterference() *cobra.Command {
+	s := evaluator.DefaultInterference()
+	span := s.Length.Std()
+	cmd := &cobra.Command{
+		Use:   "interference",
+		Short: "Measure how well tasks that slow each other down are found and kept apart",
+		Long: "Interference plays random days in which it is known which images slow each other down, with each mode. It prints\n" +
+			"the precision and recall of the pairs that are believed, and by how much tasks are slowed down in the second half.",
+		Example: "  goldcreststack measure interference\n  goldcreststack measure interference --seeds 3 --span 1m --json",
+	}
+	f := cmd.Flags()
+	f.IntVar(&s.Seeds, "seeds", s.Seeds, "number of days, each with a seed of its own")
+	f.DurationVar(&span, "span", span, "length of a day")
+	f.IntVar(&s.Workers, "workers", s.Workers, "number of workers, at least 3")
+	f.IntVar(&s.Images, "images", s.Images, "number of images")
+	f.IntVar(&s.Pairs, "pairs", s.Pairs, "number of pairs of images that slow each other down")
+	f.Float64Var(&s.Load, "load", s.Load, "share of the cores that tasks ask for")
+	return measureCommand(cmd, func() (measurement, error) {
+		s.Length = modeler.Duration(span)
+		return evaluator.MeasureInterference(s)
 	})
 }
 
--- a/dispatcher/decision.go
+++ b/dispatcher/decision.go
@@ -26,15 +26,21 @@
 	Runtimes Decision = "learned run times"
 	// PermitsAhead asks for the permits of a step before it is ready.
 	PermitsAhead Decision = "permits ahead"
+	// PaceRequests bounds how often steps ask for permits.
+	PaceRequests Decision = "paced requests"
 	// PriorityFirst puts steps beyond the share of their account behind others of the same
 	// priority only, and not behind less urgent ones.
 	PriorityFirst Decision = "priority before share"
+	// UsefulPermits asks only for permits that tasks are likely to use before they expire.
+	UsefulPermits Decision = "useful permits"
+	// Headroom keeps room for urgent tasks that are likely to arrive.
+	Headroom Decision = "headroom"
 	// Overdue copies or moves attempts that take far longer than was expected.
 	Overdue Decision = "overdue runs"
 )
 
 // Decisions lists all decisions that can be switched off.
-var Decisions = []Decision{HoldPermits, Reserve, Preempt, Copy, Quarantine, Timeliness, Speed, PermitsAhead, VictimSlack, Runtimes, PriorityFirst, Overdue}
+var Decisions = []Decision{HoldPermits, Reserve, Preempt, Copy, Quarantine, Timeliness, Speed, PermitsAhead, VictimSlack, Runtimes, PriorityFirst, PaceRequests, UsefulPermits, Headroom, Overdue}
 
 // uses reports whether a decision is not switched off.
 func (d *Dispatcher) uses(x Decision) bool { return !d.settings.Disabled[x] }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"goldcreststack.example/goldcreststack/accountant"
+	"goldcreststack.example/goldcreststack/interference"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/profiler"
 	"goldcreststack.example/goldcreststack/sequencer"
@@ -27,6 +28,9 @@
 	MaxListedEnds int
 	// QuotaOverage is the part of an account's quota by which a gang may exceed it.
 	QuotaOverage float64
+	// Interference is what is done about tasks that slow each other down, by service. Without
+	// it they are only observed.
+	Interference interference.Modes
 	// Disabled switches decisions off.
 	Disabled map[Decision]bool
 	// Log writes one log line about a decision; it must not block.
@@ -109,6 +113,8 @@
 	out          Output
 	// changed means that the state has changed since the last placement.
 	changed bool
+	// headroom is what less urgent steps leave to the most urgent ones.
+	headroom headroom
 	// examined counts the workers examined in the current pass of the placement, which
 	// is partial if it did not reach all waiting steps. placeRound counts the rounds
 	// of passes that did.
@@ -121,6 +127,10 @@
 	// searchStart is the index in hostList at which the next search for workers to
 	// ask about begins.
 	searchStart int
+	// nextRequestAt is when a step that is not urgent may ask for permits again.
+	nextRequestAt modeler.ClockReading
+	// hasBeyondShare means that a step beyond its account's share waits for permits.
+	hasBeyondShare bool
 	// lossyUntil is when renewals return to their usual wait after one got no
 	// answer.
 	lossyUntil modeler.ClockReading
@@ -132,6 +142,11 @@
 	committing int
 	// eventLag is how long the oldest unprocessed event has been waiting.
 	eventLag time.Duration
+	// matrix holds the pairs of images that slow each other down; presences and images are
+	// buffers.
+	matrix    *interference.Matrix
+	presences []presence
+	images    []modeler.ImageName
 	// heldBack holds the tasks that are not started again because a worker has
 	// listed an earlier attempt as done. Each maps to that worker until the end is
 	// committed.
@@ -177,6 +192,7 @@
 		heldBack:      make(map[modeler.FlowTask]*host),
 		profiler:      profiler.New(),
 
+		matrix:          interference.NewMatrix(),
 		ledger:          accountant.NewLedger(settings.QuotaOverage),
 		blockedAccounts: make(map[*accountant.Account]bool),
 		lateBeyondShare: make(map[lateFlows]bool),
@@ -257,6 +273,9 @@
 	d.updateReadiness(now)
 	d.updateTimeliness()
 	d.updateLateBeyondShare()
+	d.updateRoomSoon(now)
+	d.updateHeadroom(now)
+	d.tickInterference(now)
 	d.changed = true
 }
 
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -134,8 +134,16 @@
 	health
 	// openPermitRequests counts the open permit requests that name the worker.
 	openPermitRequests int
+	// roomSoon is what is likely to be free at some time before a permit that is
+	// requested now expires.
+	roomSoon modeler.Resources
+	// urgentRoom is what is free or used by tasks that can be preempted for urgent ones,
+	// as of the last tick and less what tasks that can't be preempted have taken since.
+	urgentRoom modeler.Resources
 	// speed is what is known of the worker's speed.
 	speed *profiler.Worker
+	// departures holds the last attempts that have ended there.
+	departures departures
 	// slowSeenAt holds when each slow task on the worker was last seen to be slow,
 	// and slowedDown whether that task was faster before.
 	slowSeenAt map[modeler.FlowTask]modeler.ClockReading
--- a/dispatcher/place.go
+++ b/dispatcher/place.go
@@ -65,6 +65,11 @@
 			d.changed = true
 			return
 		}
+		if d.waitsForLeader(now, u) {
+			u.lacksWorkers = true
+			reserving += min(len(u.reservations), 1)
+			continue
+		}
 		u.placeRound = d.placeRound
 		if u.step.Gang {
 			u.lacksWorkers = !d.placeGang(now, u)
@@ -131,9 +136,9 @@
 
 // isStillBest reports whether the worker that was the best one for another task of the
 // step is so for this task too: that task made its score better. It does not hold for
-// backfill, whose tasks avoid each other.
+// backfill, whose tasks avoid each other, and for tasks that slow each other down.
 func (d *Dispatcher) isStillBest(now modeler.ClockReading, u *unit, index modeler.TaskIndex, h *host) bool {
-	return u.failedOn[index] != h.worker.ID && h.runs[u.task(index)] == nil && d.canRun(now, u, h, neededBy(u.step)) && d.mayProbeWith(now, u, index, h)
+	return u.failedOn[index] != h.worker.ID && h.runs[u.task(index)] == nil && d.canRun(now, u, h, neededBy(u.step)) && d.mayProbeWith(now, u, index, h) && !d.slowsItself(u, h)
 }
 
 // placeGang places all tasks of a gang or none.
@@ -235,6 +240,8 @@
 		Generation: h.worker.Generation,
 	}
 	r := d.addRun(now, start, h, committing)
+	d.recordUrgentStart(now, u)
+	d.useHeadroom(u, h, r.need)
 	r.permit = u.permits[h.worker.ID].text
 	d.committing++
 	d.out.Starts = append(d.out.Starts, start)
@@ -259,11 +266,15 @@
 	var best *host
 	lowest := math.Inf(1)
 	need := neededBy(u.step)
+	avoids := d.avoidsInterference(u)
 	consider := func(h *host) {
 		if rack != "" && h.worker.Rack != rack || h.runs[u.task(index)] != nil || !d.canRun(now, u, h, need) || !d.mayProbeWith(now, u, index, h) {
 			return
 		}
 		score := d.score(u, h)
+		if avoids {
+			score += d.interferenceScore(u, h)
+		}
 		if u.failedOn[index] == h.worker.ID {
 			score += penalty
 		}
@@ -300,7 +311,7 @@
 
 // canRun reports whether a task of the step can run on the worker now.
 func (d *Dispatcher) canRun(now modeler.ClockReading, u *unit, h *host, need modeler.Resources) bool {
-	if !u.suits(h) || !need.Fits(h.free()) || !d.usableBy(now, u, h) || !fits(need, d.roomFor(now, u, h)) {
+	if !u.suits(h) || !need.Fits(h.free()) || !d.usableBy(now, u, h) || !fits(need, d.roomFor(now, u, h)) || !d.leavesHeadroom(now, u, h, need) {
 		return false
 	}
 	return u.step.PerWorker == 0 || u.runsOn[h.worker.ID] < u.step.PerWorker
--- a/dispatcher/rig_test.go
+++ b/dispatcher/rig_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"goldcreststack.example/goldcreststack/dispatcher"
+	"goldcreststack.example/goldcreststack/interference"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/sequencer"
 )
@@ -76,6 +77,7 @@
 
 type runningTask struct {
 	attempt modeler.Attempt
+	image   modeler.ImageName
 	// need is what the task uses of its worker's capacity, also after its flow is over.
 	need modeler.Resources
 	// team is the account of the task's flow, and charge what the task takes of its quota.
@@ -174,6 +176,15 @@
 	// The others wait in inbox.
 	eventsPerTick int
 	inbox         []scheduledEvent
+	// disabled switches decisions off, lag is added to the event lag, and asked holds the
+	// permit requests in order.
+	disabled map[dispatcher.Decision]bool
+	lag      time.Duration
+	asked    []modeler.PermitRequest
+	// interference is the leader's setting, and slowdown tells how many times longer a task
+	// takes while another image runs beside it.
+	interference interference.Modes
+	slowdown     func(image, beside modeler.ImageName) float64
 	// quotas holds the quotas that each account has had, with the times at which they
 	// came into force.
 	quotas map[modeler.TeamName][]quotaAt
@@ -217,6 +228,8 @@
 	r.state.Changes()
 	r.leader = dispatcher.New(r.now, r.stamp(), r.term, r.state, dispatcher.Settings{
 		MaxLease: lease, MaxStopTime: stopTime, GangTimeout: 3 * time.Second, MaxTimeOverTarget: 4 * time.Second, MaxListedEnds: r.maxListedEnds,
+		Disabled:     r.disabled,
+		Interference: r.interference,
 		QuotaOverage: quotaOverage,
 		Log: func(event string, pairs ...any) {
 			r.events[event]++
@@ -325,7 +338,7 @@
 			}
 		}
 	}
-	r.leader.SetEventLag(r.eventLag())
+	r.leader.SetEventLag(r.lag + r.eventLag())
 	if time.Duration(r.now)%(100*time.Millisecond) == 0 {
 		r.leader.Tick(r.now, r.stamp())
 	}
@@ -406,6 +419,7 @@
 			break
 		}
 		r.permitRequests++
+		r.asked = append(r.asked, ask)
 		r.schedule(ask.Timeout, func() {
 			answer := modeler.PermitAnswer{Step: ask.Step}
 			for _, id := range ask.Workers {
@@ -587,7 +601,7 @@
 	if step.Backfill {
 		need.Processors = 0
 	}
-	w.running[o.Task] = &runningTask{attempt: o.Attempt, need: need, team: f.Spec.Team, charge: step.Need, work: step.Estimate, gang: step.Gang, share: 100, began: r.now, checkpoints: step.Checkpoints}
+	w.running[o.Task] = &runningTask{attempt: o.Attempt, image: step.Image, need: need, team: f.Spec.Team, charge: step.Need, work: step.Estimate, gang: step.Gang, share: 100, began: r.now, checkpoints: step.Checkpoints}
 	if o.Saved != "" {
 		steps, err := time.ParseDuration(string(o.Saved))
 		assert.NilError(r.t, err)
@@ -729,6 +743,9 @@
 			if w.speed > 0 {
 				did = time.Duration(w.speed * float64(did))
 			}
+			if r.slowdown != nil {
+				did = time.Duration(float64(did) / r.slowdownOf(w, j))
+			}
 			j.done += did
 			if longRunning && !w.failsTasks {
 				j.done = j.work
@@ -746,6 +763,21 @@
 	}
 }
 
+// slowdownOf returns how many times longer a task takes beside the other tasks of its worker.
+func (r *rig) slowdownOf(w *worker, j *runningTask) float64 {
+	beside := make(map[modeler.ImageName]bool)
+	for _, other := range w.running {
+		beside[other.image] = beside[other.image] || other != j
+	}
+	factor := 1.0
+	for image, present := range beside {
+		if present {
+			factor *= r.slowdown(j.image, image)
+		}
+	}
+	return factor
+}
+
 // endGang ends all running members of a gang.
 func (r *rig) endGang(task modeler.FlowTask, attempt modeler.Attempt, kind modeler.EndKind) {
 	for _, w := range r.sortedWorkers() {
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -44,8 +44,10 @@
 	need    modeler.Resources
 	account *accountant.Account
 	charge  accountant.Charge
-	phase   phase
-	permit  modeler.Permit
+	// image is what the attempt runs.
+	image  modeler.ImageName
+	phase  phase
+	permit modeler.Permit
 	// sentAt is when the start was last sent, and startsSent how often.
 	sentAt     modeler.ClockReading
 	startsSent int
@@ -155,6 +157,7 @@
 	}
 	if step := d.step(start.Task); step != nil {
 		r.need, r.charge = neededBy(step), chargeOf(step)
+		r.image = step.Image
 	}
 	if f, found := d.state.Flow(start.Task.Flow); found {
 		r.account = d.ledger.Account(f.Spec.Team)
@@ -203,6 +206,7 @@
 func (d *Dispatcher) removeRun(r *run) {
 	if r.host.runs[r.task] == r {
 		delete(r.host.runs, r.task)
+		d.recordDeparture(r)
 		r.host.used = r.host.used.Sub(r.need)
 		r.account.Remove(r.charge)
 		if r.unsized {
--- a/dispatcher/runtime.go
+++ b/dispatcher/runtime.go
@@ -143,6 +143,7 @@
 	}
 	q := d.queue(u.flow.Spec.Queue)
 	estimate, runtime := logOf(u.step.Estimate), logOf(took)
+	d.observeInterference(u, r, took, runtime-q.runtimes.predict(estimate))
 	if !u.step.Gang {
 		d.measureRun(u, r, runtime, q.runtimes.predict(estimate))
 		runtime -= r.host.speed.Slowness()
--- a/dispatcher/stats.go
+++ b/dispatcher/stats.go
@@ -36,6 +36,8 @@
 	Idle    []IdleWorker               `json:"idle,omitempty"`
 	// Speeds lists the workers whose speeds differ most from the usual one.
 	Speeds []WorkerSpeed `json:"speeds,omitempty"`
+	// Interference has the pairs of images that slow each other down.
+	Interference InterferenceStats `json:"interference"`
 }
 
 // WorkerSpeed is the learned speed of a worker relative to the cell's usual one.
@@ -127,6 +129,8 @@
 	switch {
 	case u.waitsForQuota:
 		return modeler.WaitsForQuota
+	case d.waitsForLeader(now, u):
+		return modeler.WaitsForLeader
 	case u.policy.Permits != nil && !d.hasPermit(now, u):
 		return modeler.WaitsForPermit
 	case u.beyondShare:
@@ -184,6 +188,7 @@
 	s.Accounts = d.Accounts(maxStatsEntries)
 	s.Reasons = make(map[modeler.WaitReason]int)
 	s.Speeds = d.speeds()
+	s.Interference = d.Interference(maxWorstPairs)
 	for _, u := range d.sortedUnits {
 		if !u.ready || u.waiting.len() == 0 {
 			continue
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -61,7 +61,9 @@
 	askedWorkers []*host
 	isAsking     bool
 	nextAskAt    modeler.ClockReading
-	readyAt      modeler.ClockReading
+	// answeredAt is when the last permit request was answered, or 0.
+	answeredAt modeler.ClockReading
+	readyAt    modeler.ClockReading
 	// occurrenceDone means that all steps of the unit's occurrence are done, and dropped
 	// that the unit is not in use any more.
 	occurrenceDone bool
@@ -191,6 +193,7 @@
 		u.ready = false
 		u.waiting.clear()
 		u.dropped = true
+		d.closeInterference(now, u)
 		d.releaseReservations(u)
 		for i := range u.step.Count {
 			delete(d.heldBack, u.task(modeler.TaskIndex(i)))
@@ -305,6 +308,7 @@
 		return
 	}
 	u.waiting.clear()
+	d.closeInterference(now, u)
 	d.settings.Log("step done", "request", u.key.Flow, "occurrence", u.key.Occurrence, "step", u.key.Step, "took", now.Sub(u.readyAt).String())
 	d.markReadySteps(now, u.occurrenceUnits())
 	d.markOccurrenceDone(u)
--- a/modeler/status.go
+++ b/modeler/status.go
@@ -52,6 +52,8 @@
 	Hidden int `json:"hidden,omitempty"`
 	// Records counts the stored records of at-most-once requests.
 	Records int `json:"records"`
+	// Interference lists the images that are slowed down most by others on the same worker.
+	Interference []PairStatus `json:"interference,omitempty"`
 	// Accounts lists the client accounts, and Steps the first steps of flows that wait, in
 	// the order in which they get room. Reasons counts all waiting tasks of flows by what
 	// they wait for.
@@ -60,6 +62,18 @@
 	Reasons  map[WaitReason]int `json:"reasons,omitempty"`
 }
 
+// PairStatus is an image that another one slows down on workers of one size.
+type PairStatus struct {
+	Image  ImageName `json:"image"`
+	Beside ImageName `json:"beside"`
+	// Cores is the middle of the size class of the workers.
+	Cores float64 `json:"cores"`
+	// Slowdown is the factor by which runs take longer, and Error the standard error of its
+	// logarithm.
+	Slowdown float64 `json:"slowdown"`
+	Error    float64 `json:"error"`
+}
+
 // OtherAccounts stands for the accounts that a list sums up in its last entry. It differs
 // from the names of accounts that operators may choose, since those are not empty.
 const OtherAccounts TeamName = ""
@@ -87,6 +101,7 @@
 	WaitsForShare  WaitReason = "share"
 	WaitsForPermit WaitReason = "permit"
 	WaitsForRoom   WaitReason = "room"
+	WaitsForLeader WaitReason = "leader"
 )
 
 // StepStatus is a step of a flow with tasks that wait for workers.
--- a/operator/report.go
+++ b/operator/report.go
@@ -203,6 +203,7 @@
 	}
 	printAccounts(out, a.Accounts)
 	printSteps(out, a)
+	printInterference(out, a.Interference)
 }
 
 // printAccounts prints the accounts, with processors in cores.
@@ -240,6 +241,15 @@
 	}
 }
 
+func printInterference(out io.Writer, pairs []modeler.PairStatus) {
+	if len(pairs) > 0 {
+		fmt.Fprintln(out, "\nIMAGE\tSLOWED BY\tWORKERS\tSLOWDOWN")
+	}
+	for _, p := range pairs {
+		fmt.Fprintf(out, "%s\t%s\tabout %.3g cores\t%.2f\n", p.Image, p.Beside, p.Cores, p.Slowdown)
+	}
+}
+
 func printMembers(out io.Writer, members []modeler.MemberStatus, pending bool) {
 	fmt.Fprintln(out, "MEMBER\tADDRESS\tROLE\tMATCH\tCAUGHT UP\tLAG")
 	for _, m := range members {
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"sync"
 	"time"
-
-	"goldcreststack.example/goldcreststack/platform/imitator"
 )
 
 const (
@@ -20,7 +18,9 @@
 
 // job holds what callers have sent and been told about one job.
 type job struct {
-	spec        string
+	spec string
+	// account is "" in runs without accounts.
+	account     string
 	steps       []jobStep
 	acceptedAt  time.Time
 	cancelledAt time.Time
@@ -49,9 +49,15 @@
 	// failures counts the attempts of each task that have failed.
 	failures map[string]int
 	starts   int
+	// refusedKeys counts the calls that got status 401.
+	refusedKeys int
 	// violations lists the broken promises.
 	violations []string
 	versions   []acknowledgement
+	// lastVersion is the newest version that an operator has sent.
+	lastVersion uint64
+	// accounts is nil in runs without accounts.
+	accounts *accounts
 	// acknowledged receives a value for each acknowledgement to a caller or to the
 	// operator, unless it holds one.
 	acknowledged chan struct{}
@@ -138,15 +144,27 @@
 func (c *check) newestVersion() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.versions) == 0 {
-		return 0
+	newest := uint64(0)
+	for _, a := range c.versions {
+		newest = max(newest, a.version)
+	}
+	return newest
+}
+
+// nextVersion returns the version of the next configuration.
+func (c *check) nextVersion() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastVersion++
+	if c.accounts != nil {
+		c.lastVersion = c.accounts.next()
 	}
-	return c.versions[len(c.versions)-1].version
+	return c.lastVersion
 }
 
 // checkStart checks the start of a task on a worker and returns how long the task
 // is to run, and its step. The caller holds the worker's lock.
-func (c *check) checkStart(s *worker, order *imitator.Order) (time.Duration, jobStep) {
+func (c *check) checkStart(s *worker, order *order) (time.Duration, jobStep) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.starts++
@@ -160,7 +178,7 @@
 	case j.refused:
 		c.addViolation("task %s of a job that was refused", order.Task)
 	case !j.cancelledAt.IsZero() && time.Since(j.cancelledAt) > cancelLimit && order.Wait >= 0:
-		c.addViolation("task %s started %v after its cancel, by an order that was sent %v before", order.Task, time.Since(j.cancelledAt), s.ageOf(order))
+		c.checkLateStart(s, order, time.Since(j.cancelledAt))
 	}
 	if other := c.runningOn[order.Task]; other != "" && other != s.id {
 		c.addViolation("task %s runs on %s and on %s", order.Task, other, s.id)
@@ -175,11 +193,30 @@
 			}
 		}
 	}
+	step := j.steps[stepOf(order.Task)]
+	if c.runningOn[order.Task] == "" {
+		c.addUse(j, step.cores)
+	}
 	c.runningOn[order.Task] = s.id
+	c.checkQuota(order.Task, j, step.cores, s.ageOf(&order.Order))
 	if s.failing {
-		return failureTime, j.steps[stepOf(order.Task)]
+		return failureTime, step
+	}
+	return time.Duration(200+len(order.Task)*7%400) * time.Millisecond, step
+}
+
+// checkLateStart checks an order that has started a task so long after its cancel was
+// acknowledged. It may have been sent before, if the machine has delayed its reading; then
+// it is older than the cancel, and its sender has given it up. Both are needed, since the
+// age is too high if the worker was granted no lease for a while. The caller holds the
+// lock.
+func (c *check) checkLateStart(s *worker, order *order, since time.Duration) {
+	age := s.ageOf(&order.Order)
+	if age > since && order.isGivenUp() {
+		s.world.logFault("the machine delays an order for task %s by %v, beyond its cancel %v ago", order.Task, age, since)
+		return
 	}
-	return time.Duration(200+len(order.Task)*7%400) * time.Millisecond, j.steps[stepOf(order.Task)]
+	c.addViolation("task %s started %v after its cancel, by an order that was sent %v before", order.Task, since, age)
 }
 
 // taskEnded records the end of a task on a worker. The state is the one that the
@@ -189,6 +226,8 @@
 	defer c.mu.Unlock()
 	if c.runningOn[name] == worker {
 		delete(c.runningOn, name)
+		j := c.jobs[jobIDOf(name)]
+		c.addUse(j, -j.steps[stepOf(name)].cores)
 	}
 	switch state {
 	case "done":
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -38,6 +38,9 @@
 	// Return lets workers leave, crash and come back under their id, while orders are on
 	// their way that arrive late at a later generation, and adds tasks that last.
 	Return bool
+	// Accounts adds client accounts, whose keys and quotas two operators change at the
+	// same time, and calls with keys that are revoked or unknown.
+	Accounts bool
 }
 
 const (
@@ -54,7 +57,9 @@
 type Report struct {
 	Jobs   int
 	Starts int
-	Faults []string
+	// RefusedKeys counts the calls that got status 401.
+	RefusedKeys int
+	Faults      []string
 	// Violations lists the broken promises, each with its time.
 	Violations []string
 }
@@ -124,6 +129,9 @@
 		changing:     make(map[int]bool),
 		diskLosses:   make(map[int]*diskLoss),
 	}
+	if settings.Accounts {
+		w.check.accounts = newAccounts(settings.Seed)
+	}
 	w.bootstrap.Store(true)
 	var err error
 	if w.network, err = reserveNetwork(); err != nil {
@@ -143,6 +151,12 @@
 	running, end := context.WithCancel(ctx)
 	defer end()
 	callers.Go(func() { w.runOperator(running) })
+	if settings.Accounts {
+		for range operatorCount - 1 {
+			callers.Go(func() { w.runOperator(running) })
+		}
+		callers.Go(func() { w.runIntruder(running) })
+	}
 	for range callerCount {
 		callers.Go(func() { w.runCaller(running) })
 	}
@@ -169,6 +183,7 @@
 	end()
 	callers.Wait()
 	if recovered {
+		w.restoreAccounts()
 		w.endLasting(lasting)
 		w.checkEnd()
 		w.awaitJobs()
@@ -177,7 +192,7 @@
 	watcher.Wait()
 	w.check.mu.Lock()
 	defer w.check.mu.Unlock()
-	return Report{Jobs: len(w.check.jobs), Starts: w.check.starts, Faults: w.faults, Violations: w.check.violations}, nil
+	return Report{Jobs: len(w.check.jobs), Starts: w.check.starts, RefusedKeys: w.check.refusedKeys, Faults: w.faults, Violations: w.check.violations}, nil
 }
 
 // injectAllFaults injects temporary faults for the given time and, if the settings
