--- a/dispatcher/decision.go
+++ b/dispatcher/decision.go
@@ -35,10 +35,12 @@
 	UsefulPermits Decision = "useful permits"
 	// Headroom keeps room for urgent tasks that are likely to arrive.
 	Headroom Decision = "headroom"
+	// Overdue copies or moves attempts that take far longer than was expected.
+	Overdue Decision = "overdue runs"
 )
 
 // Decisions lists all decisions that can be switched off.
-var Decisions = []Decision{HoldPermits, Reserve, Preempt, Copy, Quarantine, Timeliness, Speed, PermitsAhead, VictimSlack, Runtimes, PriorityFirst, PaceRequests, UsefulPermits, Headroom}
+var Decisions = []Decision{HoldPermits, Reserve, Preempt, Copy, Quarantine, Timeliness, Speed, PermitsAhead, VictimSlack, Runtimes, PriorityFirst, PaceRequests, UsefulPermits, Headroom, Overdue}
 
 // uses reports whether a decision is not switched off.
 func (d *Dispatcher) uses(x Decision) bool { return !d.settings.Disabled[x] }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -45,6 +45,9 @@
 	Ends   []modeler.FlowEnd
 	// Departed lists workers to remove from the replicated state.
 	Departed []modeler.WorkerDeparture
+	// Learned is to be proposed to the replicated log, if it is not nil. If it is lost,
+	// it is listed again.
+	Learned *modeler.Learned
 }
 
 // Dispatcher is the leader's state of workers and attempts; it is not
@@ -83,7 +86,9 @@
 	runs         map[modeler.FlowTask]*run
 	abandoned    map[modeler.FlowTask][]*run
 	proposedEnds map[attemptID]*run
-	queues       map[modeler.QueueID]*queueStats
+	// moves holds the newest moves of overdue tasks that are not done.
+	moves  map[modeler.FlowTask]*move
+	queues map[modeler.QueueID]*queueStats
 	// ledger holds what each account has running. blockedAccounts has the accounts of
 	// which a step waits for the quota in the current pass of the placement.
 	ledger          *accountant.Ledger
@@ -98,9 +103,14 @@
 	// runs that it learns from at the next tick.
 	profiler      *profiler.Profiler
 	measuredSteps []*unit
-	// slowdownRange covers the queues of all flows seen so far.
-	slowdownRange slowdownRange
-	out           Output
+	// demand tells what room on fast workers is worth.
+	demand   demand
+	tickedAt modeler.ClockReading
+	// recordedAt is when what was learned was last listed to be recorded, and
+	// recordedHost the index in hostList of the worker that was looked at last.
+	recordedAt   modeler.ClockReading
+	recordedHost int
+	out          Output
 	// changed means that the state has changed since the last placement.
 	changed bool
 	// headroom is what less urgent steps leave to the most urgent ones.
@@ -152,6 +162,8 @@
 	// learned from.
 	runtimes runtimes
 	learned  int
+	// copies and restarts tell whether moves of its overdue tasks have paid.
+	copies, restarts gains
 }
 
 // New returns the dispatcher of a new leader, built from the committed state.
@@ -173,6 +185,7 @@
 		hostsAt:       make(map[string][]*host),
 		abandoned:     make(map[modeler.FlowTask][]*run),
 		proposedEnds:  make(map[attemptID]*run),
+		moves:         make(map[modeler.FlowTask]*move),
 		queues:        make(map[modeler.QueueID]*queueStats),
 		services:      make(map[modeler.ServiceName]*serviceHealth),
 		changed:       true,
@@ -192,6 +205,7 @@
 		d.addHost(now, m)
 	}
 	d.settings.Log("workers taken over", "count", len(d.hostList), "term", term)
+	d.restoreLearned()
 	state.ForEachFlow(func(f *sequencer.Flow) { d.restoreFlow(now, f) })
 	d.countUnheardCopies()
 	slices.SortFunc(d.sortedUnits, compareUnits)
@@ -252,7 +266,11 @@
 	}
 	d.releaseUnheardCopies(now)
 	d.copyTasksOfUnanswered(now)
+	d.forgetMoves()
 	d.learnSpeeds()
+	d.recordLearned(now)
+	d.demand.update(now.Sub(d.tickedAt), d.hostList)
+	d.tickedAt = now
 	d.updateReadiness(now)
 	d.updateTimeliness()
 	d.updateLateBeyondShare()
--- a/dispatcher/rig_test.go
+++ b/dispatcher/rig_test.go
@@ -129,7 +129,11 @@
 	permits       bool
 	allowed       func(unit modeler.StepKey, id modeler.WorkerID) bool
 	fails         func(task modeler.FlowTask, attempt modeler.Attempt) bool
-	paused        bool
+	// events counts the log lines by event.
+	events map[string]int
+	// delay returns how many times longer than its estimate an attempt takes.
+	delay  func(task modeler.FlowTask, attempt modeler.Attempt) int
+	paused bool
 	// lateOrdersSurviveRestart lets a new generation of a worker carry out late
 	// orders that were sent to an earlier one. Until the leader knows of the new
 	// generation and its next order arrives there, nothing could stop a late order; it
@@ -158,6 +162,9 @@
 	finishedAt     map[modeler.FlowID]modeler.ClockReading
 	failures       map[modeler.FlowTask]int
 	permitRequests int
+	// onLearned sees what the leader wants to have recorded, and reports whether that is
+	// committed; nil means always.
+	onLearned func(*modeler.Learned) bool
 	// orderDelay is how long orders wait at the leader before they are sent, as on
 	// a busy leader after its election.
 	orderDelay time.Duration
@@ -197,6 +204,7 @@
 		taskStart:            make(map[modeler.FlowTask]modeler.ClockReading),
 		finishedAt:           make(map[modeler.FlowID]modeler.ClockReading),
 		failures:             make(map[modeler.FlowTask]int),
+		events:               make(map[string]int),
 
 		doneAt:       make(map[modeler.FlowStart]modeler.ClockReading),
 		lastStart:    make(map[modeler.FlowTask]modeler.ClockReading),
@@ -224,6 +232,7 @@
 		Interference: r.interference,
 		QuotaOverage: quotaOverage,
 		Log: func(event string, pairs ...any) {
+			r.events[event]++
 			if testing.Verbose() {
 				r.t.Log(time.Duration(r.now), event, fmt.Sprint(pairs...))
 			}
@@ -376,6 +385,11 @@
 			r.commit(func() { r.state.UpdateWorkers(nil, out.Departed) })
 		})
 	}
+	if out.Learned != nil && (r.onLearned == nil || r.onLearned(out.Learned)) {
+		r.schedule(r.commitTime, func() {
+			r.commit(func() { r.state.RecordLearned(out.Learned) })
+		})
+	}
 	if len(out.Starts) > 0 {
 		r.schedule(r.commitTime, func() {
 			r.deliver(func() {
@@ -723,6 +737,9 @@
 			f, found := r.state.Flow(task.Flow)
 			longRunning := found && len(f.Spec.Steps) > 0 && f.Spec.Steps[task.Step].LongRunning
 			did := tick / time.Duration(max(w.slowdown, 1))
+			if r.delay != nil {
+				did /= time.Duration(r.delay(task, j.attempt))
+			}
 			if w.speed > 0 {
 				did = time.Duration(w.speed * float64(did))
 			}
