--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// permitMargin is subtracted from a permit's validity to cover the time from
+	// PermitMargin is subtracted from a permit's validity to cover the time from
 	// the policy's answer to the start: one commit and two network trips.
-	permitMargin = 300 * time.Millisecond
+	PermitMargin = 300 * time.Millisecond
 	// minAsked and maxAsked bound the workers named in one permit request. The time
 	// that callers allow for a request assumes at most 30.
 	minAsked = 10
@@ -290,7 +290,7 @@
 // renewalLead returns how long before its expiry a permit is renewed: the longest
 // time of a request, so that a waiting step holds valid permits all the time.
 func renewalLead(p *modeler.PermitPolicy) time.Duration {
-	return min(p.Decision+maxAsked*p.Worker, (p.Validity-permitMargin)/2)
+	return min(p.Decision+maxAsked*p.Worker, (p.Validity-PermitMargin)/2)
 }
 
 // compareCandidates orders candidates by how useful it is to ask about them,
@@ -370,7 +370,7 @@
 		}
 		u.permits[id] = permit{
 			text:       a.Allowed[at].Permit,
-			expiresAt:  now.Add(validity - permitMargin),
+			expiresAt:  now.Add(validity - PermitMargin),
 			generation: h.worker.Generation,
 		}
 	}
