--- a/inspector/inspector.go
+++ b/inspector/inspector.go
@@ -122,8 +122,8 @@
 			found = append(found, Finding{Unused, routeEntry(q), "no call matches a host with a port: write the host alone"})
 		case q.Prefix != "" && q.Prefix[0] != '/':
 			found = append(found, Finding{Unused, routeEntry(q), "no call matches a path_prefix that doesn't begin with a slash"})
-		case q.Prefix == "" && hasRoute(l, q.Host, "/"):
-			found = append(found, Finding{Unused, routeEntry(q), "the route with the path_prefix \"/\" of the same host hides it"})
+		case !strings.HasSuffix(q.Prefix, "/") && hasRoute(l, q.Host, q.Prefix+"/"):
+			found = append(found, Finding{Unused, routeEntry(q), fmt.Sprintf("the route with the path_prefix %q of the same host hides it: all calls below it go there", q.Prefix+"/")})
 		}
 	}
 	return found
--- a/inspector/inspector_test.go
+++ b/inspector/inspector_test.go
@@ -137,6 +137,8 @@
 	for _, c := range []struct{ old, new, want string }{
 		{"", "", ""},
 		{`"path_prefix":"/x/"`, `"path_prefix":""`, `unused: route "a": the route with the path_prefix "/"`},
+		{`"host":"a","path_prefix":"/",`, `"host":"a","path_prefix":"/x",`, `unused: route "a/x": the route with the path_prefix "/x/"`},
+		{`"host":"a","path_prefix":"/",`, `"host":"a:80","path_prefix":"/",`, `unused: route "a:80/": no call matches a host with a port`},
 		{`"path_prefix":"/x/"`, `"path_prefix":"x/"`, `unused: route "ax/": no call matches a path_prefix`},
 		{`["sesame3"]`, `[]`, `unused: account "t2": it has no keys`},
 		{`{"name":"r"}`, `{"name":"r"},{"name":"q"}`, `unused: service "q": no route`},
