dispatcher: permits that are valid for long don't delay the next request

Cause: a step waited up to half of its permits' validity until its next request, and up to a fifth of it for more workers to ask about: with permits valid for a minute 30 s and 12 s, so long-running tasks were not started on a new worker within their 6 s. Change: both waits are bounded, to 2 s and 1 s. Nothing changes for permits valid for 2.5 s.

--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -39,6 +39,8 @@
 	// next request names minAsked workers: one part in gatherDivisor of a permit's
 	// validity.
 	gatherDivisor = 5
+	// maxGatherTime bounds that wait, since permits may be valid for minutes.
+	maxGatherTime = time.Second
 )
 
 // learnRate is the weight of the newest observation in a running mean.
@@ -94,6 +96,9 @@
 	// With a policy that answers fast, steps that wait would otherwise ask for each worker
 	// as its room becomes free.
 	requestIntervalDivisor = 2
+	// maxRequestInterval bounds that time. With permits that are valid for minutes, a
+	// long-running task would miss room on a new worker within its 6 s.
+	maxRequestInterval = 2 * time.Second
 	// requestPause is the mean time between two requests of steps that are not urgent:
 	// each answer costs the leader a pass of the placement, and 50 answers a second leave
 	// most of a small core to urgent steps. Requests of requestBurst may be sent at once.
@@ -107,7 +112,7 @@
 	if !d.uses(PaceRequests) {
 		return
 	}
-	u.nextAskAt = now.Add(min(u.policy.Latency, u.policy.Permits.Validity) / requestIntervalDivisor)
+	u.nextAskAt = now.Add(min(u.policy.Latency/requestIntervalDivisor, u.policy.Permits.Validity/requestIntervalDivisor, maxRequestInterval))
 	if !u.isUrgent() {
 		d.nextRequestAt = max(d.nextRequestAt, now).Add(requestPause)
 	}
@@ -228,7 +233,7 @@
 // decision and the leader two messages. Workers that have room for all waiting tasks are
 // asked about at once, and any with room if the decision is short: urgent steps have them.
 func (d *Dispatcher) shouldGather(now modeler.ClockReading, u *unit, names []modeler.WorkerID) bool {
-	if !d.uses(UsefulPermits) || u.answeredAt == 0 || len(names) >= minAsked || now.Sub(u.answeredAt) >= u.policy.Permits.Validity/gatherDivisor {
+	if !d.uses(UsefulPermits) || u.answeredAt == 0 || len(names) >= minAsked || now.Sub(u.answeredAt) >= min(u.policy.Permits.Validity/gatherDivisor, maxGatherTime) {
 		return false
 	}
 	need, tasks := neededBy(u.step), 0
--- a/dispatcher/permit_test.go
+++ b/dispatcher/permit_test.go
@@ -129,3 +129,29 @@
 	// Requests of one second may be sent at once, 50 a second follow.
 	assert.Check(t, counts[0] <= 550 && counts[0] < counts[1]/2, "%d requests, %d without the decision", counts[0], counts[1])
 }
+
+// Guards against long-running tasks that don't get room on a new worker for half a minute,
+// because the step's last permits are valid for long: it waited to ask again, or for more
+// workers to ask about.
+func TestLongValidityDoesNotDelayRequests(t *testing.T) {
+	for name, decision := range map[string]time.Duration{"fast": 5 * time.Millisecond, "slow": 500 * time.Millisecond} {
+		for _, allowed := range []bool{false, true} {
+			r := newRig(t, 12)
+			for i := range 12 {
+				r.addWorker(modeler.WorkerID(fmt.Sprintf("old%02d", i)), 8, "r")
+			}
+			r.allowed = func(_ modeler.StepKey, id modeler.WorkerID) bool { return allowed || id == "new" }
+			r.run(2 * time.Second)
+			lasting := step(20, 8, 0)
+			lasting.LongRunning = true
+			f := flow("f", lasting)
+			f.Policy.Latency = time.Minute
+			f.Policy.Permits = &modeler.PermitPolicy{Decision: decision, Worker: time.Millisecond, Validity: time.Minute}
+			r.submit(f)
+			r.run(time.Second)
+			w := r.addWorker("new", 8, "r")
+			r.run(6 * time.Second)
+			assert.Check(t, len(w.running) == 1, "%s policy, other workers allowed: %v", name, allowed)
+		}
+	}
+}
