dispatcher: no headroom on workers too small for urgent tasks

Cause: while the cell had less room for urgent tasks than is kept, tasks that can't be preempted were refused on all workers, also on those that no urgent task fits on. They waited as long as urgent work went on. Change: a worker whose whole capacity is too small for an urgent task has no headroom. Result: TestHeadroomIsNotKeptOnWorkersTooSmallForIt failed and passes.

--- a/dispatcher/headroom.go
+++ b/dispatcher/headroom.go
@@ -170,12 +170,16 @@
 const maxSlots = 1000
 
 // leavesHeadroom reports whether the room for urgent tasks remains if a task of the step
-// starts on the worker. Tasks that can be preempted may use that room.
+// starts on the worker. Tasks that can be preempted may use that room, and all tasks may use
+// workers that are too small for an urgent one.
 func (d *Dispatcher) leavesHeadroom(now modeler.ClockReading, u *unit, h *host, need modeler.Resources) bool {
 	r := &d.headroom
 	if r.keep == 0 || r.mayPreempt(u) || !d.yieldsToUrgent(now, u) {
 		return true
 	}
+	if r.slotsOn(h.worker.Capacity) == 0 {
+		return true
+	}
 	return r.slots-r.slotsOn(h.urgentRoom)+r.slotsOn(h.urgentRoom.Sub(need)) >= r.keep
 }
 
--- a/dispatcher/headroom_test.go
+++ b/dispatcher/headroom_test.go
@@ -153,3 +153,19 @@
 	c.fill(2*time.Second, true)
 	assert.Check(t, reports() > before+10, "reports start once the leader has caught up")
 }
+
+// Guards against tasks that never start on workers too small for the urgent tasks, as long
+// as these lack room elsewhere.
+func TestHeadroomIsNotKeptOnWorkersTooSmallForIt(t *testing.T) {
+	c := newCrowd(t)
+	small := c.addWorker("small", 2, "r")
+	for i := range 40 {
+		id := modeler.FlowID(fmt.Sprintf("urgent%03d", i))
+		c.add(flow(id, step(40, 8, time.Second)), 0, 250*time.Millisecond)
+		if i == 20 {
+			c.add(flow("report", step(1, 2, time.Minute)), 2, time.Minute)
+		}
+		c.run(200 * time.Millisecond)
+	}
+	assert.Equal(t, len(small.running), 1)
+}
