dispatcher: slow tasks of a quarantined worker are stopped within their budget

Cause: the stops of slow tasks on a quarantined worker ignored the disruption budget of their step, unlike restarts of overdue tasks on other workers. Change: they are stopped only as far as the budget allows; the others follow once those run again. Result: TestSlowTasksAreStoppedWithinBudget saw 4 tasks away at once with a budget of 1, and sees 1.

--- a/dispatcher/overdue_test.go
+++ b/dispatcher/overdue_test.go
@@ -223,3 +223,44 @@
 		assert.Check(t, budget == 0 && most > 1 || budget > 0 && most <= budget && most > 0, "%d tasks were away at once with a budget of %d", most, budget)
 	}
 }
+
+// Guards against a quarantined worker whose slow tasks are all stopped at once, beyond the
+// disruption budget of their step.
+func TestSlowTasksAreStoppedWithinBudget(t *testing.T) {
+	r := newOverdueRig(t, 21)
+	r.delay = func(task modeler.FlowTask, attempt modeler.Attempt) int {
+		if task.Flow != "b" && attempt == 1 {
+			return 8
+		}
+		return 1
+	}
+	for _, w := range r.sortedWorkers()[1:] {
+		w.announcement.Labels = []string{"later"}
+		r.commitAnnouncement(w)
+	}
+	for _, id := range []modeler.FlowID{"f", "g"} {
+		s := step(4, 2, 2*time.Second)
+		s.Label, s.DisruptionBudget = "a", 1
+		r.submit(flow(id, s))
+	}
+	r.run(500 * time.Millisecond)
+	assert.Equal(t, r.runningTasks("f"), 4)
+	for _, w := range r.sortedWorkers()[1:] {
+		w.announcement.Labels = []string{"a"}
+		r.commitAnnouncement(w)
+	}
+	most := 0
+	for range 2000 {
+		r.run(tick)
+		done := 0
+		for start := range r.doneAt {
+			if start.Task.Flow == "f" {
+				done++
+			}
+		}
+		most = max(most, 4-r.runningTasks("f")-done)
+	}
+	assert.Equal(t, r.flowState("f"), modeler.FlowCompleted)
+	assert.Check(t, r.events["worker quarantined"] > 0)
+	assert.Equal(t, most, 1)
+}
--- a/dispatcher/slow.go
+++ b/dispatcher/slow.go
@@ -61,8 +61,8 @@
 }
 
 // handleSlowRuns quarantines a worker on which several tasks are slow, and stops the
-// slow tasks on a quarantined worker that other workers are likely to finish earlier. On
-// other workers they are moved if that has paid in their queue.
+// slow tasks on a quarantined worker that other workers are likely to finish earlier, within
+// the disruption budgets of their steps. On other workers they are moved if that has paid in their queue.
 func (d *Dispatcher) handleSlowRuns(now modeler.ClockReading, h *host) {
 	if len(h.slowRuns) == 0 {
 		return
@@ -79,7 +79,7 @@
 		if r.attempt > maxMoves || s.rest <= r.unit.expectedRuntime()+2*d.settings.MaxStopTime {
 			continue
 		}
-		if d.hasOtherWorker(now, r.unit) {
+		if d.budgetAllowsMove(r) && d.hasOtherWorker(now, r.unit) {
 			r.noteFailedProbe(now)
 			d.stopRun(now, r, "it is slow")
 		}
