dispatcher: long-running steps don't wait for the pace of all requests

Cause: all steps that are not urgent share 50 permit requests a second, the most urgent first. With 400 waiting steps of a more urgent queue, a long-running step never asked. Change: requests of long-running steps neither wait for that pace nor count for it. Result: TestPacedRequestsLeaveOutLongRunningSteps: 0 of 2 tasks ran after 6 s, now both.

--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -73,7 +73,7 @@
 		if !(u.ready && (u.lacksWorkers || len(u.permits) == 0)) && !(u.isReadySoon && len(u.permits)+len(u.denied) == 0) {
 			continue
 		}
-		if d.waitsForLeader(now, u) || !u.isUrgent() && now.Add(requestBurst) < d.nextRequestAt {
+		if d.waitsForLeader(now, u) || u.sharesPace() && now.Add(requestBurst) < d.nextRequestAt {
 			continue
 		}
 		names := d.chooseWorkersToAsk(now, u)
@@ -99,21 +99,25 @@
 	// maxRequestInterval bounds that time. With permits that are valid for minutes, a
 	// long-running task would miss room on a new worker within its 6 s.
 	maxRequestInterval = 2 * time.Second
-	// requestPause is the mean time between two requests of steps that are not urgent:
+	// requestPause is the mean time between two requests of steps that share the pace:
 	// each answer costs the leader a pass of the placement, and 50 answers a second leave
 	// most of a small core to urgent steps. Requests of requestBurst may be sent at once.
 	requestPause = 20 * time.Millisecond
 	requestBurst = time.Second
 )
 
-// paceRequests bounds how often a step, and all steps that are not urgent, ask for
-// permits.
+// sharesPace reports whether the step's requests count for the pace of all steps that are
+// not urgent. Long-running steps are too few to cost the leader much, and would wait longer
+// than their 6 s behind many steps of more urgent queues.
+func (u *unit) sharesPace() bool { return !u.isUrgent() && !u.step.LongRunning }
+
+// paceRequests bounds how often a step, and all steps that share the pace, ask for permits.
 func (d *Dispatcher) paceRequests(now modeler.ClockReading, u *unit) {
 	if !d.uses(PaceRequests) {
 		return
 	}
 	u.nextAskAt = now.Add(min(u.policy.Latency/requestIntervalDivisor, u.policy.Permits.Validity/requestIntervalDivisor, maxRequestInterval))
-	if !u.isUrgent() {
+	if u.sharesPace() {
 		d.nextRequestAt = max(d.nextRequestAt, now).Add(requestPause)
 	}
 }
--- a/dispatcher/permit_test.go
+++ b/dispatcher/permit_test.go
@@ -142,7 +142,7 @@
 			}
 			r.allowed = func(_ modeler.StepKey, id modeler.WorkerID) bool { return allowed || id == "new" }
 			r.run(2 * time.Second)
-			lasting := step(20, 8, 0)
+			lasting := step(20, 8, 500*time.Millisecond)
 			lasting.LongRunning = true
 			f := flow("f", lasting)
 			f.Policy.Latency = time.Minute
@@ -155,3 +155,31 @@
 		}
 	}
 }
+
+// Guards against long-running tasks of the least urgent queue whose requests wait behind
+// those of many steps that ask again and again, since the leader paces all of them.
+func TestPacedRequestsLeaveOutLongRunningSteps(t *testing.T) {
+	r := newRig(t, 13)
+	r.addWorkers(20, 16)
+	r.addWorker("roomy", 64, "r")
+	r.workers["roomy"].announcement.Labels = []string{"roomy"}
+	r.commitAnnouncement(r.workers["roomy"])
+	r.run(2 * time.Second)
+	permits := &modeler.PermitPolicy{Decision: 5 * time.Millisecond, Worker: 50 * time.Microsecond, Validity: 2500 * time.Millisecond}
+	for i := range 400 {
+		s := step(20, 4, time.Duration(500+100*(i%3))*time.Millisecond)
+		s.Label = "a"
+		f := flow(modeler.FlowID(fmt.Sprintf("f%03d", i)), s)
+		f.Policy.Permits = permits
+		f.Policy.Latency, f.Policy.Slowdown = 1200*time.Millisecond, 5
+		r.submit(f)
+	}
+	r.run(3 * time.Second)
+	lasting := step(2, 4, 500*time.Millisecond)
+	lasting.LongRunning, lasting.Label = true, "roomy"
+	f := flow("lasting", lasting)
+	f.Policy.Permits, f.Policy.Priority, f.Policy.Latency = permits, 5, time.Minute
+	r.submit(f)
+	r.run(6 * time.Second)
+	assert.Equal(t, r.runningTasks("lasting"), 2)
+}
