dispatcher: no further attempt beside a copied one beyond the allowed failures

Cause: when the copy of an overdue attempt failed, a third attempt started while the first one went on. The number of failures was checked for the copy only, not for what follows it. Change: if a further attempt could exceed the failures that the queue allows, the first attempt, if its worker answers, becomes the task's current one again.

--- a/dispatcher/copy.go
+++ b/dispatcher/copy.go
@@ -89,6 +89,17 @@
 	}
 }
 
+// resumeAbandoned makes an abandoned attempt the current one of a task whose copy has failed,
+// if a further attempt beside it could fail as well and exceed the failures that the queue
+// allows. An attempt whose worker doesn't answer is not waited for.
+func (d *Dispatcher) resumeAbandoned(task modeler.FlowTask) {
+	for _, r := range d.abandoned[task] {
+		if r.unit != nil && r.phase == running && r.host.unanswered < copyAfterUnanswered && d.isCurrent(r.host) && !d.mayCopy(r) {
+			d.reinstateAbandoned(r)
+		}
+	}
+}
+
 // stopAbandoned stops the abandoned attempts of a step whose flow is over.
 func (d *Dispatcher) stopAbandoned(now modeler.ClockReading, u *unit) {
 	if !u.step.MayRunCopies() {
--- a/dispatcher/overdue_test.go
+++ b/dispatcher/overdue_test.go
@@ -264,3 +264,20 @@
 	assert.Check(t, r.events["worker quarantined"] > 0)
 	assert.Equal(t, most, 1)
 }
+
+// Guards against more failed attempts of a copied task than its queue allows: the copy has
+// failed, and a third attempt starts beside the first one.
+func TestCopiesFailWithinAttempts(t *testing.T) {
+	for _, attempts := range []int{2, 3} {
+		r := newOverdueRig(t, 7)
+		r.delay = longFirstAttempt
+		first := modeler.FlowTask{Flow: "f000"}
+		r.fails = func(task modeler.FlowTask, attempt modeler.Attempt) bool {
+			return task == first && (attempt > 1 || r.starts[first] > attempts)
+		}
+		r.submitCopyable("f", 1, attempts, 400*time.Millisecond)
+		r.run(20 * time.Second)
+		assert.Check(t, r.starts[first] > 1)
+		assert.Check(t, r.failures[first] <= attempts, "%d failures with %d attempts, %d starts", r.failures[first], attempts, r.starts[first])
+	}
+}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -600,6 +600,9 @@
 		}
 		u.failedOn[e.Task.Index] = r.host.worker.ID
 	}
+	if e.Kind == modeler.EndFailed {
+		d.resumeAbandoned(e.Task)
+	}
 	u.updateWaiting(e.Task.Index)
 	if e.Kind == modeler.EndDone {
 		d.markFollowersReady(now, u)
