--- a/dispatcher/account.go
+++ b/dispatcher/account.go
@@ -50,7 +50,7 @@
 
 // updateQuotaWait reports whether the next task or gang of a step has to wait until more
 // of its account's quota is free. Later steps of the account wait behind it, so that wide
-// ones don't starve, except tasks that last while little of the quota is in use. A gang
+// ones don't starve, except long-running tasks while little of the quota is in use. A gang
 // of which members still run waits for their end and not for the quota.
 func (d *Dispatcher) updateQuotaWait(now modeler.ClockReading, u *unit) bool {
 	if u.account == nil || u.step.Gang && u.waiting.len() < u.step.Count {
--- a/dispatcher/headroom.go
+++ b/dispatcher/headroom.go
@@ -22,7 +22,7 @@
 	// only: a fifth of the lag from which on it places nothing. A start costs the leader
 	// several messages, and urgent steps wait behind all of them.
 	urgentLag = maxPlacementLag / 5
-	// maxLongRunningDelay bounds how long tasks that last wait for the sake of urgent work.
+	// maxLongRunningDelay bounds how long long-running tasks wait for the sake of urgent work.
 	// Callers expect them to run within 6 s.
 	maxLongRunningDelay = 3 * time.Second
 )
@@ -195,7 +195,7 @@
 }
 
 // yieldsToUrgent reports whether a step is less urgent than others that have started
-// lately. Tasks that last yield for a while only, since their callers wait for them too.
+// lately. Long-running tasks yield for a while only, since their callers wait for them too.
 func (d *Dispatcher) yieldsToUrgent(now modeler.ClockReading, u *unit) bool {
 	if !d.uses(Headroom) || u.policy.Permits == nil || !d.headroom.isActive(now) || u.policy.Priority <= d.headroom.priority {
 		return false
@@ -204,7 +204,7 @@
 }
 
 // waitsForLeader reports whether the step waits since the leader is behind with its work.
-// Tasks that last don't wait for that: they are too few to delay others.
+// Long-running tasks don't wait for that: they are too few to delay others.
 func (d *Dispatcher) waitsForLeader(now modeler.ClockReading, u *unit) bool {
 	return d.eventLag > urgentLag && !u.step.LongRunning && d.yieldsToUrgent(now, u)
 }
--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -342,7 +342,7 @@
 	d.clearAsked(u)
 	if a.Failed {
 		u.nextAskAt = max(u.nextAskAt, now.Add(askRetryInterval))
-		d.settings.Log("permit question failed", "request", a.Step.Flow, "step", a.Step.Step, "took", a.Elapsed.String())
+		d.settings.Log("permit request failed", "request", a.Step.Flow, "step", a.Step.Step, "took", a.Elapsed.String())
 		return
 	}
 	u.answeredAt = now
