--- a/dispatcher/headroom.go
+++ b/dispatcher/headroom.go
@@ -22,7 +22,7 @@
 	// only: a fifth of the lag from which on it places nothing. A start costs the leader
 	// several messages, and urgent steps wait behind all of them.
 	urgentLag = maxPlacementLag / 5
-	// maxLongRunningDelay bounds how long tasks that last wait for the sake of urgent work.
+	// maxLongRunningDelay bounds how long long-running tasks wait for the sake of urgent work.
 	// Callers expect them to run within 6 s.
 	maxLongRunningDelay = 3 * time.Second
 )
@@ -170,12 +170,16 @@
 const maxSlots = 1000
 
 // leavesHeadroom reports whether the room for urgent tasks remains if a task of the step
-// starts on the worker. Tasks that can be preempted may use that room.
+// starts on the worker. Tasks that can be preempted may use that room, and all tasks may use
+// workers that are too small for an urgent one.
 func (d *Dispatcher) leavesHeadroom(now modeler.ClockReading, u *unit, h *host, need modeler.Resources) bool {
 	r := &d.headroom
 	if r.keep == 0 || r.mayPreempt(u) || !d.yieldsToUrgent(now, u) {
 		return true
 	}
+	if r.slotsOn(h.worker.Capacity) == 0 {
+		return true
+	}
 	return r.slots-r.slotsOn(h.urgentRoom)+r.slotsOn(h.urgentRoom.Sub(need)) >= r.keep
 }
 
@@ -191,7 +195,7 @@
 }
 
 // yieldsToUrgent reports whether a step is less urgent than others that have started
-// lately. Tasks that last yield for a while only, since their callers wait for them too.
+// lately. Long-running tasks yield for a while only, since their callers wait for them too.
 func (d *Dispatcher) yieldsToUrgent(now modeler.ClockReading, u *unit) bool {
 	if !d.uses(Headroom) || u.policy.Permits == nil || !d.headroom.isActive(now) || u.policy.Priority <= d.headroom.priority {
 		return false
@@ -200,7 +204,7 @@
 }
 
 // waitsForLeader reports whether the step waits since the leader is behind with its work.
-// Tasks that last don't wait for that: they are too few to delay others.
+// Long-running tasks don't wait for that: they are too few to delay others.
 func (d *Dispatcher) waitsForLeader(now modeler.ClockReading, u *unit) bool {
 	return d.eventLag > urgentLag && !u.step.LongRunning && d.yieldsToUrgent(now, u)
 }
--- a/dispatcher/overdue_test.go
+++ b/dispatcher/overdue_test.go
@@ -223,3 +223,61 @@
 		assert.Check(t, budget == 0 && most > 1 || budget > 0 && most <= budget && most > 0, "%d tasks were away at once with a budget of %d", most, budget)
 	}
 }
+
+// Guards against a quarantined worker whose slow tasks are all stopped at once, beyond the
+// disruption budget of their step.
+func TestSlowTasksAreStoppedWithinBudget(t *testing.T) {
+	r := newOverdueRig(t, 21)
+	r.delay = func(task modeler.FlowTask, attempt modeler.Attempt) int {
+		if task.Flow != "b" && attempt == 1 {
+			return 8
+		}
+		return 1
+	}
+	for _, w := range r.sortedWorkers()[1:] {
+		w.announcement.Labels = []string{"later"}
+		r.commitAnnouncement(w)
+	}
+	for _, id := range []modeler.FlowID{"f", "g"} {
+		s := step(4, 2, 2*time.Second)
+		s.Label, s.DisruptionBudget = "a", 1
+		r.submit(flow(id, s))
+	}
+	r.run(500 * time.Millisecond)
+	assert.Equal(t, r.runningTasks("f"), 4)
+	for _, w := range r.sortedWorkers()[1:] {
+		w.announcement.Labels = []string{"a"}
+		r.commitAnnouncement(w)
+	}
+	most := 0
+	for range 2000 {
+		r.run(tick)
+		done := 0
+		for start := range r.doneAt {
+			if start.Task.Flow == "f" {
+				done++
+			}
+		}
+		most = max(most, 4-r.runningTasks("f")-done)
+	}
+	assert.Equal(t, r.flowState("f"), modeler.FlowCompleted)
+	assert.Check(t, r.events["worker quarantined"] > 0)
+	assert.Equal(t, most, 1)
+}
+
+// Guards against more failed attempts of a copied task than its queue allows: the copy has
+// failed, and a third attempt starts beside the first one.
+func TestCopiesFailWithinAttempts(t *testing.T) {
+	for _, attempts := range []int{2, 3} {
+		r := newOverdueRig(t, 7)
+		r.delay = longFirstAttempt
+		first := modeler.FlowTask{Flow: "f000"}
+		r.fails = func(task modeler.FlowTask, attempt modeler.Attempt) bool {
+			return task == first && (attempt > 1 || r.starts[first] > attempts)
+		}
+		r.submitCopyable("f", 1, attempts, 400*time.Millisecond)
+		r.run(20 * time.Second)
+		assert.Check(t, r.starts[first] > 1)
+		assert.Check(t, r.failures[first] <= attempts, "%d failures with %d attempts, %d starts", r.failures[first], attempts, r.starts[first])
+	}
+}
--- a/dispatcher/permit.go
+++ b/dispatcher/permit.go
@@ -39,6 +39,8 @@
 	// next request names minAsked workers: one part in gatherDivisor of a permit's
 	// validity.
 	gatherDivisor = 5
+	// maxGatherTime bounds that wait, since permits may be valid for minutes.
+	maxGatherTime = time.Second
 )
 
 // learnRate is the weight of the newest observation in a running mean.
@@ -71,7 +73,7 @@
 		if !(u.ready && (u.lacksWorkers || len(u.permits) == 0)) && !(u.isReadySoon && len(u.permits)+len(u.denied) == 0) {
 			continue
 		}
-		if d.waitsForLeader(now, u) || !u.isUrgent() && now.Add(requestBurst) < d.nextRequestAt {
+		if d.waitsForLeader(now, u) || u.sharesPace() && now.Add(requestBurst) < d.nextRequestAt {
 			continue
 		}
 		names := d.chooseWorkersToAsk(now, u)
@@ -94,21 +96,28 @@
 	// With a policy that answers fast, steps that wait would otherwise ask for each worker
 	// as its room becomes free.
 	requestIntervalDivisor = 2
-	// requestPause is the mean time between two requests of steps that are not urgent:
+	// maxRequestInterval bounds that time. With permits that are valid for minutes, a
+	// long-running task would miss room on a new worker within its 6 s.
+	maxRequestInterval = 2 * time.Second
+	// requestPause is the mean time between two requests of steps that share the pace:
 	// each answer costs the leader a pass of the placement, and 50 answers a second leave
 	// most of a small core to urgent steps. Requests of requestBurst may be sent at once.
 	requestPause = 20 * time.Millisecond
 	requestBurst = time.Second
 )
 
-// paceRequests bounds how often a step, and all steps that are not urgent, ask for
-// permits.
+// sharesPace reports whether the step's requests count for the pace of all steps that are
+// not urgent. Long-running steps are too few to cost the leader much, and would wait longer
+// than their 6 s behind many steps of more urgent queues.
+func (u *unit) sharesPace() bool { return !u.isUrgent() && !u.step.LongRunning }
+
+// paceRequests bounds how often a step, and all steps that share the pace, ask for permits.
 func (d *Dispatcher) paceRequests(now modeler.ClockReading, u *unit) {
 	if !d.uses(PaceRequests) {
 		return
 	}
-	u.nextAskAt = now.Add(min(u.policy.Latency, u.policy.Permits.Validity) / requestIntervalDivisor)
-	if !u.isUrgent() {
+	u.nextAskAt = now.Add(min(u.policy.Latency/requestIntervalDivisor, u.policy.Permits.Validity/requestIntervalDivisor, maxRequestInterval))
+	if u.sharesPace() {
 		d.nextRequestAt = max(d.nextRequestAt, now).Add(requestPause)
 	}
 }
@@ -228,7 +237,7 @@
 // decision and the leader two messages. Workers that have room for all waiting tasks are
 // asked about at once, and any with room if the decision is short: urgent steps have them.
 func (d *Dispatcher) shouldGather(now modeler.ClockReading, u *unit, names []modeler.WorkerID) bool {
-	if !d.uses(UsefulPermits) || u.answeredAt == 0 || len(names) >= minAsked || now.Sub(u.answeredAt) >= u.policy.Permits.Validity/gatherDivisor {
+	if !d.uses(UsefulPermits) || u.answeredAt == 0 || len(names) >= minAsked || now.Sub(u.answeredAt) >= min(u.policy.Permits.Validity/gatherDivisor, maxGatherTime) {
 		return false
 	}
 	need, tasks := neededBy(u.step), 0
@@ -333,7 +342,7 @@
 	d.clearAsked(u)
 	if a.Failed {
 		u.nextAskAt = max(u.nextAskAt, now.Add(askRetryInterval))
-		d.settings.Log("permit question failed", "request", a.Step.Flow, "step", a.Step.Step, "took", a.Elapsed.String())
+		d.settings.Log("permit request failed", "request", a.Step.Flow, "step", a.Step.Step, "took", a.Elapsed.String())
 		return
 	}
 	u.answeredAt = now
--- a/dispatcher/permit_test.go
+++ b/dispatcher/permit_test.go
@@ -129,3 +129,57 @@
 	// Requests of one second may be sent at once, 50 a second follow.
 	assert.Check(t, counts[0] <= 550 && counts[0] < counts[1]/2, "%d requests, %d without the decision", counts[0], counts[1])
 }
+
+// Guards against long-running tasks that don't get room on a new worker for half a minute,
+// because the step's last permits are valid for long: it waited to ask again, or for more
+// workers to ask about.
+func TestLongValidityDoesNotDelayRequests(t *testing.T) {
+	for name, decision := range map[string]time.Duration{"fast": 5 * time.Millisecond, "slow": 500 * time.Millisecond} {
+		for _, allowed := range []bool{false, true} {
+			r := newRig(t, 12)
+			for i := range 12 {
+				r.addWorker(modeler.WorkerID(fmt.Sprintf("old%02d", i)), 8, "r")
+			}
+			r.allowed = func(_ modeler.StepKey, id modeler.WorkerID) bool { return allowed || id == "new" }
+			r.run(2 * time.Second)
+			lasting := step(20, 8, 500*time.Millisecond)
+			lasting.LongRunning = true
+			f := flow("f", lasting)
+			f.Policy.Latency = time.Minute
+			f.Policy.Permits = &modeler.PermitPolicy{Decision: decision, Worker: time.Millisecond, Validity: time.Minute}
+			r.submit(f)
+			r.run(time.Second)
+			w := r.addWorker("new", 8, "r")
+			r.run(6 * time.Second)
+			assert.Check(t, len(w.running) == 1, "%s policy, other workers allowed: %v", name, allowed)
+		}
+	}
+}
+
+// Guards against long-running tasks of the least urgent queue whose requests wait behind
+// those of many steps that ask again and again, since the leader paces all of them.
+func TestPacedRequestsLeaveOutLongRunningSteps(t *testing.T) {
+	r := newRig(t, 13)
+	r.addWorkers(20, 16)
+	r.addWorker("roomy", 64, "r")
+	r.workers["roomy"].announcement.Labels = []string{"roomy"}
+	r.commitAnnouncement(r.workers["roomy"])
+	r.run(2 * time.Second)
+	permits := &modeler.PermitPolicy{Decision: 5 * time.Millisecond, Worker: 50 * time.Microsecond, Validity: 2500 * time.Millisecond}
+	for i := range 400 {
+		s := step(20, 4, time.Duration(500+100*(i%3))*time.Millisecond)
+		s.Label = "a"
+		f := flow(modeler.FlowID(fmt.Sprintf("f%03d", i)), s)
+		f.Policy.Permits = permits
+		f.Policy.Latency, f.Policy.Slowdown = 1200*time.Millisecond, 5
+		r.submit(f)
+	}
+	r.run(3 * time.Second)
+	lasting := step(2, 4, 500*time.Millisecond)
+	lasting.LongRunning, lasting.Label = true, "roomy"
+	f := flow("lasting", lasting)
+	f.Policy.Permits, f.Policy.Priority, f.Policy.Latency = permits, 5, time.Minute
+	r.submit(f)
+	r.run(6 * time.Second)
+	assert.Equal(t, r.runningTasks("lasting"), 2)
+}
