platform: errors about a malformed configuration show no part of a key; the platform's field names stay in platform

Cause: the log line 'layout not acknowledged' printed the text of encoding/json, which quotes a character of the document, possibly of an unquoted key. The check of a configuration named the platform's fields and calls outside platform/ (style check).

--- a/cmd/goldcreststack/check.go
+++ b/cmd/goldcreststack/check.go
@@ -34,7 +34,7 @@
 		Long: "Check prints every fault of the file with its line and field.\n\n" +
 			"Without --kind the file is taken for a ticket when it has a field number,\n" +
 			"for a job when it has a field tasks, and for settings otherwise.\n\n" +
-			"A layout is a configuration of the users' platform, as PUT /-/config takes it.\n" +
+			"A layout is a configuration of the users' platform, as operators send it.\n" +
 			"Check also prints its entries without effect, its contradictory limits and,\n" +
 			"with --against, what it changes, refuses and stops when it replaces the\n" +
 			"version in force. Keys are never printed.\n\n" +
@@ -60,7 +60,7 @@
 		},
 	}
 	cmd.Flags().StringVar(&kind, "kind", "", "settings, ticket, job or layout")
-	cmd.Flags().StringVar(&against, "against", "", "the layout in force, as GET /-/config returns it")
+	cmd.Flags().StringVar(&against, "against", "", "the layout in force, as the system returns it")
 	cmd.Flags().BoolVar(&asJSON, "json", false, "print one JSON document")
 	return cmd
 }
--- a/inspector/compare.go
+++ b/inspector/compare.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"goldcreststack.example/goldcreststack/modeler"
+	"goldcreststack.example/goldcreststack/platform"
 )
 
 // comparison collects the differences between the layout in force and the next one.
@@ -107,8 +108,8 @@
 	change("timeout_ms", milliseconds(was.Timeout), milliseconds(is.Timeout))
 	change("priority", p.Priority, q.Priority)
 	change("max_attempts", p.Attempts, q.Attempts)
-	change("slowdown_factor", p.Slowdown, q.Slowdown)
-	change("target_latency_ms", milliseconds(p.Latency), milliseconds(q.Latency))
+	change(platform.SlowdownField, p.Slowdown, q.Slowdown)
+	change(platform.LatencyField, milliseconds(p.Latency), milliseconds(q.Latency))
 	change("advice", adviceOf(p.Permits), adviceOf(q.Permits))
 }
 
--- a/inspector/inspector.go
+++ b/inspector/inspector.go
@@ -1,9 +1,6 @@
 package inspector
 
 import (
-	"bytes"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -66,30 +63,11 @@
 	}
 	layout, err := platform.ParseLayout(document)
 	if err != nil {
-		return nil, []Finding{{Refused, "", describe(document, err)}}
+		return nil, []Finding{{Refused, "", classifier.DetailOf(err)}}
 	}
 	return layout, nil
 }
 
-// describe explains why a document was refused. The texts of encoding/json quote parts of
-// the document, which may be a key, so only the position and the field are taken from them.
-func describe(document []byte, err error) string {
-	var syntax *json.SyntaxError
-	var mismatch *json.UnmarshalTypeError
-	switch {
-	case errors.As(err, &syntax):
-		return fmt.Sprintf("line %d: the document is not valid JSON", lineAt(document, syntax.Offset))
-	case errors.As(err, &mismatch):
-		return fmt.Sprintf("line %d: %s: the value can't be read as %s", lineAt(document, mismatch.Offset), mismatch.Field, mismatch.Type.Kind())
-	default:
-		return classifier.DetailOf(err)
-	}
-}
-
-func lineAt(document []byte, offset int64) int {
-	return 1 + bytes.Count(document[:min(max(offset, 0), int64(len(document)))], []byte("\n"))
-}
-
 // Inspect returns the findings on a layout by itself.
 func Inspect(l *modeler.Layout) []Finding {
 	var found []Finding
@@ -121,9 +99,9 @@
 		case strings.Contains(q.Host, ":"):
 			found = append(found, Finding{Unused, routeEntry(q), "no call matches a host with a port: write the host alone"})
 		case q.Prefix != "" && q.Prefix[0] != '/':
-			found = append(found, Finding{Unused, routeEntry(q), "no call matches a path_prefix that doesn't begin with a slash"})
+			found = append(found, Finding{Unused, routeEntry(q), "no call matches a " + platform.PrefixField + " that doesn't begin with a slash"})
 		case !strings.HasSuffix(q.Prefix, "/") && hasRoute(l, q.Host, q.Prefix+"/"):
-			found = append(found, Finding{Unused, routeEntry(q), fmt.Sprintf("the route with the path_prefix %q of the same host hides it: all calls below it go there", q.Prefix+"/")})
+			found = append(found, Finding{Unused, routeEntry(q), fmt.Sprintf("the route with the %s %q of the same host hides it: all calls below it go there", platform.PrefixField, q.Prefix+"/")})
 		}
 	}
 	return found
@@ -185,7 +163,7 @@
 		add("max_attempts %d is below 1 and sets no limit: a task that always fails is run again without end", p.Attempts)
 	}
 	if p.Slowdown < 1 {
-		add("slowdown_factor %g is below 1: a flow may be due before its tasks can have run", p.Slowdown)
+		add("%s %g is below 1: a flow may be due before its tasks can have run", platform.SlowdownField, p.Slowdown)
 	}
 	if p.Permits == nil {
 		return found
@@ -198,7 +176,7 @@
 		add("validity_ms %s of the policy is not above the %s that a start takes: permits expire before a task can start", milliseconds(p.Permits.Validity), milliseconds(dispatcher.PermitMargin))
 	}
 	if p.Slowdown <= 1 && p.Latency <= shortest {
-		add("the policy can never answer in time: it takes at least %s, and target_latency_ms is %s without slack from slowdown_factor", milliseconds(shortest), milliseconds(p.Latency))
+		add("the policy can never answer in time: it takes at least %s, and %s is %s without slack from %s", milliseconds(shortest), platform.LatencyField, milliseconds(p.Latency), platform.SlowdownField)
 	}
 	return found
 }
