dispatcher: tests of overdue runs share their checks

Cause: the checks of copies and of restarts stood twice. Change: checkMoved and longTask; the bounds are the same.

--- a/dispatcher/overdue_test.go
+++ b/dispatcher/overdue_test.go
@@ -57,6 +57,27 @@
 	return 1
 }
 
+// longTask makes one task of each step take 7 times as long wherever it runs.
+func longTask(task modeler.FlowTask, _ modeler.Attempt) int {
+	if task.Index == 3 {
+		return 7
+	}
+	return 1
+}
+
+// checkMoved checks that all flows are done in time, and that the 20 tasks whose first
+// attempt takes long were moved once each, and no others.
+func (r *rig) checkMoved(t *testing.T, seed uint64, submitted map[modeler.FlowID]modeler.ClockReading, within time.Duration) {
+	t.Helper()
+	for id, at := range submitted {
+		assert.Check(t, r.flowState(id) == modeler.FlowCompleted)
+		took := r.finishedAt[id].Sub(at)
+		assert.Check(t, took < within, "seed %d: %s took %v", seed, id, took)
+	}
+	n, most := r.copies(submitted)
+	assert.Check(t, n == 20 && most == 2, "seed %d: %d tasks were moved, one was started %d times", seed, n, most)
+}
+
 // Guards against flows that wait for a single attempt that takes 7 times as long, although
 // a copy elsewhere is done much earlier.
 func TestOverdueTasksAreCopied(t *testing.T) {
@@ -65,13 +86,7 @@
 		r.delay = longFirstAttempt
 		submitted := r.submitCopyable("f", 60, 3, 400*time.Millisecond)
 		r.run(10 * time.Second)
-		for id, at := range submitted {
-			assert.Check(t, r.flowState(id) == modeler.FlowCompleted)
-			took := r.finishedAt[id].Sub(at)
-			assert.Check(t, took < 4*time.Second, "seed %d: %s took %v", seed, id, took)
-		}
-		n, most := r.copies(submitted)
-		assert.Check(t, n == 20 && most == 2, "seed %d: %d tasks were copied, one was started %d times", seed, n, most)
+		r.checkMoved(t, seed, submitted, 4*time.Second)
 	}
 }
 
@@ -80,12 +95,7 @@
 func TestCopiesThatDontPay(t *testing.T) {
 	for seed := range uint64(3) {
 		r := newOverdueRig(t, seed)
-		r.delay = func(task modeler.FlowTask, _ modeler.Attempt) int {
-			if task.Index == 3 {
-				return 7
-			}
-			return 1
-		}
+		r.delay = longTask
 		// A worker with long tasks of two flows at once would be quarantined.
 		submitted := r.submitCopyable("f", 60, 3, 9*time.Second)
 		n, most := r.copies(submitted)
@@ -163,13 +173,7 @@
 		r.delay = longFirstAttempt
 		submitted := r.submitPlain("f", 60, 400*time.Millisecond)
 		r.run(10 * time.Second)
-		for id, at := range submitted {
-			assert.Check(t, r.flowState(id) == modeler.FlowCompleted)
-			took := r.finishedAt[id].Sub(at)
-			assert.Check(t, took < 4500*time.Millisecond, "seed %d: %s took %v", seed, id, took)
-		}
-		n, most := r.copies(submitted)
-		assert.Check(t, n == 20 && most == 2, "seed %d: %d tasks were restarted, one was started %d times", seed, n, most)
+		r.checkMoved(t, seed, submitted, 4500*time.Millisecond)
 	}
 }
 
@@ -177,12 +181,7 @@
 func TestRestartsThatDontPay(t *testing.T) {
 	for seed := range uint64(3) {
 		r := newOverdueRig(t, seed)
-		r.delay = func(task modeler.FlowTask, _ modeler.Attempt) int {
-			if task.Index == 3 {
-				return 7
-			}
-			return 1
-		}
+		r.delay = longTask
 		submitted := r.submitPlain("f", 60, 9*time.Second)
 		r.run(10 * time.Second)
 		// Attempts are also stopped on quarantined workers.
