--- a/controller/account_test.go
+++ b/controller/account_test.go
@@ -296,3 +296,24 @@
 		}
 	}
 }
+
+// Guards against a revoked key that is in force again after all members have restarted.
+func TestRevocationOutlivesRestarts(t *testing.T) {
+	members, r := startWatchedGroup(t, 3, nil)
+	c := &caller{t, r}
+	c.set(accountLayout(1, "a", "b"))
+	assert.Equal(t, c.repeat(modeler.CountCall, "/q/", "a"), classifier.None)
+	c.set(accountLayout(2, "b"))
+	var first []modeler.Member
+	for _, m := range members {
+		first = append(first, m.Member)
+	}
+	for _, m := range members {
+		m.stop()
+	}
+	for _, m := range members {
+		m.start(t, listen(t, m.Address), first, nil)
+	}
+	assert.Equal(t, c.repeat(modeler.CountCall, "/q/", "a"), classifier.Unauthorized)
+	assert.Equal(t, c.repeat(modeler.CountCall, "/q/", "b"), classifier.None)
+}
