--- a/review/_stand3/worker.go
+++ b/review/_stand3/worker.go
@@ -61,6 +61,7 @@
 	cut, lost bool
 	unhealthy bool
 	sequence  int
+	holds     int
 	next      string
 }
 
@@ -184,6 +185,7 @@
 	}
 	s.highest[o.Task] = o.Run
 	now := time.Now()
+	s.world.begin(o.Task)
 	s.running[o.Task] = &run{attempt: o.Run, began: now, ends: now.Add(length), length: length, fails: fails}
 	s.world.note("worker %s starts %s run %d", s.id, o.Task, o.Run)
 	return http.StatusOK, a
@@ -213,6 +215,7 @@
 
 func (s *worker) hold(ctx context.Context, o *order, _ runPlan) (int, *answer) {
 	s.mu.Lock()
+	s.holds++
 	a, ok := s.accept(o)
 	if !ok {
 		s.mu.Unlock()
@@ -360,3 +363,12 @@
 	s.mu.Unlock()
 	s.world.note("worker %s is cut off: %v", s.id, cut)
 }
+
+// lose makes the worker disappear for good, without a trace: what it ran is gone.
+func (s *worker) lose() {
+	s.mu.Lock()
+	s.lost = true
+	clear(s.running)
+	s.mu.Unlock()
+	s.world.note("worker %s is lost for good", s.id)
+}
--- a/review/_stand3/world.go
+++ b/review/_stand3/world.go
@@ -39,6 +39,7 @@
 	mu       sync.Mutex
 	record   *os.File
 	broken   []string
+	begunRun map[string]bool
 	controls []*process
 	entries  []*process
 	workers  []*worker
@@ -54,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{binary: binary, folder: folder, record: record, begun: time.Now(), trouble: os.Getenv("TROUBLE") != "0"}
+	w := &world{binary: binary, folder: folder, record: record, begun: time.Now(), begunRun: map[string]bool{}, trouble: os.Getenv("TROUBLE") != "0"}
 	w.ctx, w.stop = context.WithTimeout(context.Background(), limit)
 	if w.network, err = freeNetwork(); err != nil {
 		return nil, err
@@ -93,6 +94,20 @@
 	w.broken = append(w.broken, text)
 }
 
+// begin records that a worker has begun a task on an order.
+func (w *world) begin(task string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.begunRun[task] = true
+}
+
+// hasBegun reports whether any worker has begun the task.
+func (w *world) hasBegun(task string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.begunRun[task]
+}
+
 func (w *world) sleep(d time.Duration) bool {
 	select {
 	case <-time.After(d):
