dispatcher: a failed copy no longer panics the leader when its flow ends in the same log entry

Cause: a log entry is applied whole, then the dispatcher handles its changes one by one against the state after the last of them. The entry's second end failed the flow, whose tasks were dropped in place; the first one was handled as the end of a copy in a flow that goes on, and mayCopy read a task that was gone. Ruled out: two entries with one end each do no harm (the new test with lists of one end passes before the change); a data race (the same line is reached in memory, on one goroutine). Change: the state keeps a copy without details of a flow that is over, so whoever holds the flow reads it whole; ApplyChanges drops the steps of flows that are over before it handles the other changes of the entry, in whichever order they stand. updateWorker bears an entry that also holds the worker's departure. The steps of a flow are compared by interference after the last of its runs is known.

--- a/controller/core.go
+++ b/controller/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -366,6 +367,7 @@
 // for them.
 func (c *core) applyEntries(entries []modeler.LogEntry) error {
 	defer c.turn.spend(turnApply, time.Now())
+	defer c.namePanickedEntry()
 	c.turn.entries += len(entries)
 	for i := range entries {
 		e := &entries[i]
@@ -394,6 +396,14 @@
 	return nil
 }
 
+// namePanickedEntry adds the entry that is being applied to the message of a panic, since
+// each member that leads panics on it as long as it applies the entry as the leader.
+func (c *core) namePanickedEntry() {
+	if fault := recover(); fault != nil {
+		panic(fmt.Sprintf("the entry after entry %d is applied: %v", c.appliedIndex, fault))
+	}
+}
+
 // answerProposal sends the result of an applied entry to its proposer. An entry
 // of another term at the proposal's index means that the proposal will never be
 // committed.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -217,16 +217,23 @@
 // HasMoreToPlace reports whether the last call of Output left steps for the next one.
 func (d *Dispatcher) HasMoreToPlace() bool { return d.passIsPartial && d.changed }
 
-// ApplyChanges applies committed changes of the replicated state.
+// ApplyChanges applies committed changes of the replicated state. The state is that after
+// all of them, so flows that are over are dropped first: no other change is then handled
+// for a step of a flow that further changes have ended.
 func (d *Dispatcher) ApplyChanges(now modeler.ClockReading, stamp modeler.Timestamp, changes []sequencer.Change) {
 	d.stamp = stamp
+	var dropped []*unit
+	for i := range changes {
+		if changes[i].Kind == sequencer.FlowEnded {
+			d.logFlowOver(changes[i].Flow, len(changes))
+			dropped = append(dropped, d.dropFlow(now, changes[i].Flow)...)
+		}
+	}
 	for i := range changes {
 		c := &changes[i]
 		switch c.Kind {
 		case sequencer.FlowAdded:
 			d.addFlow(now, c.Flow)
-		case sequencer.FlowEnded:
-			d.dropFlow(now, c.Flow)
 		case sequencer.AttemptStarted:
 			d.handleStarted(now, c.Start)
 		case sequencer.AttemptEnded:
@@ -239,11 +246,22 @@
 			d.updateAccounts()
 		}
 	}
+	for _, u := range dropped {
+		d.closeInterference(now, u)
+	}
 	if len(changes) > 0 {
 		d.changed = true
 	}
 }
 
+// logFlowOver writes a log line about a flow that is over, and how many changes its log
+// entry has made.
+func (d *Dispatcher) logFlowOver(id modeler.FlowID, changes int) {
+	if f, found := d.state.Flow(id); found {
+		d.settings.Log("flow over", "request", id, "state", f.State, "occupied", f.OccupiedTasks, "changes", changes)
+	}
+}
+
 // SetSenders sets the number of processes that send orders.
 func (d *Dispatcher) SetSenders(n int) { d.senders = max(n, 1) }
 
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -109,7 +109,7 @@
 // eventsPerTick events in a tick, or all if it is 0.
 func randomFaults(t *testing.T, seed uint64, copies bool, eventsPerTick int) {
 	r := newRig(t, seed)
-	r.eventsPerTick = eventsPerTick
+	r.eventsPerTick, r.checks = eventsPerTick, true
 	r.maxListedEnds = int(seed % 4)
 	r.electLeader()
 	r.permits = seed%3 == 0
--- a/dispatcher/history_test.go
+++ b/dispatcher/history_test.go
@@ -87,7 +87,7 @@
 // randomReturns plays a history; its flows belong to accounts if draw is not nil.
 func randomReturns(t *testing.T, seed uint64, draw *rand.Rand) {
 	r := newRig(t, seed)
-	r.expectFaults, r.lateOrdersSurviveRestart = true, true
+	r.expectFaults, r.lateOrdersSurviveRestart, r.checks = true, true, true
 	r.eventsPerTick = int(seed % 3)
 	r.maxListedEnds = int(seed / 3 % 4)
 	r.electLeader()
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -181,9 +181,11 @@
 
 // updateWorker applies the committed announcement of a worker.
 func (d *Dispatcher) updateWorker(now modeler.ClockReading, id modeler.WorkerID) {
-	m := d.state.Workers()[id]
+	m, known := d.state.Workers()[id]
 	h := d.hosts[id]
 	switch {
+	case !known:
+		// A further change of the same entry tells that it has departed.
 	case h == nil:
 		fresh := d.addHost(now, m)
 		d.settings.Log("worker known", "worker", id, "generation", m.Generation, "service", m.Service, "fence", fresh.fence)
--- a/dispatcher/rig_test.go
+++ b/dispatcher/rig_test.go
@@ -72,6 +72,8 @@
 	running        map[modeler.FlowTask]*runningTask
 	ended          []modeler.EndedAttempt
 	lastEndNumber  modeler.Sequence
+	// discounted is the number of the last end that discountFailures has looked at.
+	discounted     modeler.Sequence
 	highestAttempt map[modeler.FlowTask]modeler.Attempt
 }
 
@@ -176,6 +178,12 @@
 	// The others wait in inbox.
 	eventsPerTick int
 	inbox         []scheduledEvent
+	// sharesEntries lets the ends of several calls of Output share one log entry, in any
+	// order. Those that wait for the next one are in unproposedEnds.
+	sharesEntries  bool
+	unproposedEnds []modeler.FlowEnd
+	// checks lets each commit check that the leader doesn't contradict the state.
+	checks bool
 	// disabled switches decisions off, lag is added to the event lag, and asked holds the
 	// permit requests in order.
 	disabled map[dispatcher.Decision]bool
@@ -224,7 +232,7 @@
 // electLeader starts a new leader on the committed state.
 func (r *rig) electLeader() {
 	r.term++
-	r.inbox = nil
+	r.inbox, r.unproposedEnds = nil, nil
 	r.state.Changes()
 	r.leader = dispatcher.New(r.now, r.stamp(), r.term, r.state, dispatcher.Settings{
 		MaxLease: lease, MaxStopTime: stopTime, GangTimeout: 3 * time.Second, MaxTimeOverTarget: 4 * time.Second, MaxListedEnds: r.maxListedEnds,
@@ -246,8 +254,12 @@
 
 // commit applies a command and passes the changes to the current leader.
 func (r *rig) commit(apply func()) {
+	r.t.Helper()
 	apply()
 	r.leader.ApplyChanges(r.now, r.stamp(), r.state.Changes())
+	if r.checks {
+		assert.NilError(r.t, r.leader.Check(), "%v", time.Duration(r.now))
+	}
 }
 
 func (r *rig) addWorker(id modeler.WorkerID, cores int, rack modeler.RackName) *worker {
@@ -274,11 +286,24 @@
 }
 
 func (r *rig) crash(w *worker) {
+	r.discountFailures(w)
 	w.down = true
 	w.running = make(map[modeler.FlowTask]*runningTask)
 	w.ended = nil
 }
 
+// discountFailures is called when the lease of a worker expires or the worker crashes. By
+// the platform's rules, failures that were not acknowledged before then don't count
+// against the allowed attempts.
+func (r *rig) discountFailures(w *worker) {
+	for _, e := range w.ended {
+		if e.Kind == modeler.EndFailed && e.Number > w.discounted {
+			r.failures[e.Task]--
+		}
+	}
+	w.discounted = w.lastEndNumber
+}
+
 // restart starts a new generation of a worker, which announces itself within
 // 1.5 s.
 func (r *rig) restart(w *worker) {
@@ -401,14 +426,14 @@
 			})
 		})
 	}
-	if len(out.Ends) > 0 {
+	if ends := r.entryOf(out.Ends); len(ends) > 0 {
 		r.schedule(r.commitTime, func() {
 			r.deliver(func() {
 				if term != r.term {
 					return
 				}
-				r.commit(func() { r.state.RecordEnds(r.stamp(), out.Ends) })
-				leader.HandleProposedEnds(r.now, out.Ends, true)
+				r.commit(func() { r.state.RecordEnds(r.stamp(), ends) })
+				leader.HandleProposedEnds(r.now, ends, true)
 				r.recordFinished()
 			})
 		})
@@ -432,6 +457,21 @@
 	}
 }
 
+// entryOf returns the ends of the next log entry, or none if they wait for more.
+func (r *rig) entryOf(ends []modeler.FlowEnd) []modeler.FlowEnd {
+	if !r.sharesEntries {
+		return ends
+	}
+	r.unproposedEnds = append(r.unproposedEnds, ends...)
+	if r.random.IntN(4) > 0 {
+		return nil
+	}
+	entry := r.unproposedEnds
+	r.unproposedEnds = nil
+	r.random.Shuffle(len(entry), func(i, j int) { entry[i], entry[j] = entry[j], entry[i] })
+	return entry
+}
+
 func (r *rig) recordFinished() {
 	r.state.ForEachFlow(func(f *sequencer.Flow) {
 		if _, known := r.finishedAt[f.Spec.ID]; f.IsOver() && !known {
@@ -714,6 +754,7 @@
 		}
 		if w.clock(r.now) > w.leaseDeadline {
 			w.leaseExpiredAt = r.now
+			r.discountFailures(w)
 			for _, task := range w.sortedTasks() {
 				r.endTask(w, task, modeler.EndLeaseExpired)
 			}
--- a/dispatcher/unit.go
+++ b/dispatcher/unit.go
@@ -177,12 +177,10 @@
 	return f.Spec.Start.Add(time.Duration(occurrence) * f.Spec.Interval)
 }
 
-// dropFlow removes the units of a flow that is over, and stops its attempts.
-func (d *Dispatcher) dropFlow(now modeler.ClockReading, id modeler.FlowID) {
+// dropFlow removes the units of a flow that is over, and stops its attempts. It returns
+// the units, whose last ends may be among the changes that are handled next.
+func (d *Dispatcher) dropFlow(now modeler.ClockReading, id modeler.FlowID) []*unit {
 	f, found := d.state.Flow(id)
-	if found {
-		d.settings.Log("flow over", "request", id, "state", f.State, "occupied", f.OccupiedTasks)
-	}
 	var units []*unit
 	if fl := d.flowUnits[id]; fl != nil {
 		units = fl.units
@@ -193,7 +191,6 @@
 		u.ready = false
 		u.waiting.clear()
 		u.dropped = true
-		d.closeInterference(now, u)
 		d.releaseReservations(u)
 		for i := range u.step.Count {
 			delete(d.heldBack, u.task(modeler.TaskIndex(i)))
@@ -203,9 +200,13 @@
 	d.compactSortedUnits(len(units))
 	delete(d.flowUnits, id)
 	if !found || f.OccupiedTasks == 0 {
-		return
+		return units
 	}
 	for _, r := range d.runsOf(f, units) {
+		if r.phase == ending {
+			// What its end shows is still learned for the unit.
+			continue
+		}
 		r.unit = nil
 		// The members of a completed gang end on their own, and stopCopies stops the
 		// other attempts of completed tasks.
@@ -213,6 +214,7 @@
 			d.stopRun(now, r, "its flow is over")
 		}
 	}
+	return units
 }
 
 // runsOf returns the newest attempts of a flow's tasks. It visits the tasks of the flow
--- a/sequencer/sequencer.go
+++ b/sequencer/sequencer.go
@@ -549,18 +549,21 @@
 	s.dropDetails(f)
 }
 
-// dropDetails drops the tasks and steps of a flow that is over and has no
-// attempt that may still run.
+// dropDetails replaces a flow that is over and has no attempt that may still run by a
+// copy without tasks and steps. The flow itself stays whole for those who hold it: the
+// dispatcher handles the changes of a log entry after the entry was applied.
 func (s *Sequencer) dropDetails(f *Flow) {
-	if !f.IsOver() || f.OccupiedTasks > 0 {
+	if !f.IsOver() || f.OccupiedTasks > 0 || s.flows[f.Spec.ID] != f {
 		return
 	}
 	s.heldTasks -= len(f.Tasks)
-	f.Tasks = nil
-	f.Spec.Steps = nil
-	f.Spec.Spec = ""
-	f.stepOffset = nil
-	f.progress = nil
+	rest := *f
+	rest.Tasks = nil
+	rest.Spec.Steps = nil
+	rest.Spec.Spec = ""
+	rest.stepOffset = nil
+	rest.progress = nil
+	s.flows[f.Spec.ID] = &rest
 }
 
 // RecordDepartures removes workers that have left, and records their generation so that
--- a/sequencer/sequencer_test.go
+++ b/sequencer/sequencer_test.go
@@ -373,3 +373,24 @@
 	assert.Equal(t, flowState(t, s, "g"), modeler.FlowCancelled)
 	assert.Equal(t, s.Pending("q"), 0)
 }
+
+// Guards against a flow that loses its tasks while they are read: the dispatcher handles
+// the changes of an entry one by one, and the last of them may be the end of the flow.
+func TestFlowStaysWholeForItsHolder(t *testing.T) {
+	for _, kind := range []modeler.EndKind{modeler.EndDone, modeler.EndFailed} {
+		s := newState()
+		f := oneStepFlow("f", 2)
+		f.Policy.Attempts = 1
+		s.Submit(1, f)
+		s.RecordStarts(append(start("f", 0, 1), start("f", 1, 1)...))
+		held, _ := s.Flow("f")
+		s.RecordEnds(2, append(end("f", 0, 1, modeler.EndDone), end("f", 1, 1, kind)...))
+		assert.Assert(t, held.IsOver())
+		assert.Equal(t, len(held.StepTasks(modeler.StepKey{Flow: "f"})), 2)
+		assert.Assert(t, held.Task(modeler.FlowTask{Flow: "f", Index: 1}) != nil)
+		rest, found := s.Flow("f")
+		assert.Assert(t, found && rest.State == held.State && rest.EndedAt == 2)
+		assert.Equal(t, len(rest.Tasks)+len(rest.Spec.Steps), 0, "the state keeps the tasks of a flow that is over")
+		assert.NilError(t, s.CheckRoom(sequencer.Load{Tasks: 250_000}, sequencer.Load{}), "tasks of a flow that is over count as held")
+	}
+}
