controller: links end with the controller that serves them

After all members of a group were stopped and started again within one process, calls got "no-leader" for 30 s (TestRevocationOutlivesRestarts, known red). Cause: serveEntry waited for the next message of its link only. A server that is closed doesn't close the connections of links, and pings don't need the core, so the other end saw a healthy link to a member that was gone and didn't dial its successor. Ruled out: no leader (one led 60 ms to 0.5 s after the restart), and the key's check (a new caller's revoked key was refused). Change: links of members and of other processes are served by one loop, which ends with the controller.

--- a/controller/account_test.go
+++ b/controller/account_test.go
@@ -317,3 +317,24 @@
 	assert.Equal(t, c.repeat(modeler.CountCall, "/q/", "a"), classifier.Unauthorized)
 	assert.Equal(t, c.repeat(modeler.CountCall, "/q/", "b"), classifier.None)
 }
+
+// Guards against a process whose links stay open after its controller has stopped, so that
+// other processes go on to call it and don't reach its successor.
+func TestStoppedMemberClosesItsLinks(t *testing.T) {
+	members, _ := startWatchedGroup(t, 1, nil)
+	var links []*linker.Link
+	for _, hello := range []modeler.Hello{{Entry: "entry", Incarnation: 1}, {Member: 7}} {
+		l, err := linker.Dial(t.Context(), members[0].Address, hello)
+		assert.NilError(t, err)
+		defer l.Close()
+		links = append(links, l)
+	}
+	members[0].stop()
+	for _, l := range links {
+		select {
+		case <-l.Done():
+		case <-time.After(recovery):
+			t.Fatal("a link is open after its controller has stopped")
+		}
+	}
+}
--- a/controller/links.go
+++ b/controller/links.go
@@ -34,31 +34,34 @@
 // servePeer takes the messages of another member until the link closes or ctx
 // ends.
 func (c *Controller) servePeer(ctx context.Context, l *linker.Link) {
-	for {
-		select {
-		case m, open := <-l.Receive():
-			if !open {
-				return
-			}
-			if m.Kind == modeler.PeerMessageKind && m.Peer != nil && !c.post(ctx, peerMessage{message: *m.Peer}) {
-				return
-			}
-		case <-ctx.Done():
-			return
-		}
-	}
+	c.receive(ctx, l, func(m *modeler.Message) bool {
+		return m.Kind != modeler.PeerMessageKind || m.Peer == nil || c.post(ctx, peerMessage{message: *m.Peer})
+	})
 }
 
+// serveEntry takes the messages of another process until the link closes or ctx ends.
 func (c *Controller) serveEntry(ctx context.Context, l *linker.Link) {
 	if !c.post(ctx, entryLinkUp{link: l}) {
 		return
 	}
-	for m := range l.Receive() {
-		if !c.post(ctx, entryMessage{link: l, message: m}) {
+	c.receive(ctx, l, func(m *modeler.Message) bool { return c.post(ctx, entryMessage{link: l, message: m}) })
+	c.post(ctx, entryLinkDown{link: l})
+}
+
+// receive passes the messages of a link to take until the link closes, ctx ends or take
+// returns false. A server that stops doesn't close the connections of links, and their
+// pings don't need the core, so a link that outlives its controller is never redialled.
+func (c *Controller) receive(ctx context.Context, l *linker.Link, take func(*modeler.Message) bool) {
+	for {
+		select {
+		case m, open := <-l.Receive():
+			if !open || !take(m) {
+				return
+			}
+		case <-ctx.Done():
 			return
 		}
 	}
-	c.post(ctx, entryLinkDown{link: l})
 }
 
 // maxUnsentLimits bounds the members without a known address for which lines are
