controller: a member that waits to save its vote on a full disk can be stopped

Change: the wait ends with the controller; the vote is then neither saved nor told to anyone. TestFullDiskMovesLeadership no longer frees its disks before it stops the members.

--- a/controller/core.go
+++ b/controller/core.go
@@ -155,6 +155,9 @@
 			return nil
 		}
 		if err := c.flush(ctx); err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
 			return err
 		}
 		c.endTurn()
@@ -293,7 +296,7 @@
 	if out.HardState != nil {
 		// Terms and votes change only with elections, so the core can wait for this
 		// sync. It must end before any message is sent.
-		if err := c.saveDurable(*out.HardState); err != nil {
+		if err := c.saveDurable(ctx, *out.HardState); err != nil {
 			return err
 		}
 	}
@@ -335,7 +338,9 @@
 	return nil
 }
 
-func (c *core) saveDurable(d modeler.HardState) error {
+// saveDurable saves the term and vote. It waits until there is room on the disk or ctx
+// ends, and then returns the error of ctx.
+func (c *core) saveDurable(ctx context.Context, d modeler.HardState) error {
 	for {
 		err := c.controller.store.SaveHardState(d)
 		if err == nil {
@@ -345,7 +350,11 @@
 			return err
 		}
 		// The member can't take part in elections until its vote is saved.
-		time.Sleep(diskFullRetryInterval)
+		select {
+		case <-time.After(diskFullRetryInterval):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
 }
 
--- a/controller/full_test.go
+++ b/controller/full_test.go
@@ -63,12 +63,6 @@
 	for i, l := range listeners {
 		stops = append(stops, startPeer(t, first[i].ID, l, first, false, fillableDisk(&full[i])))
 	}
-	// A member with a full disk can't stop while it waits to save its vote.
-	t.Cleanup(func() {
-		for i := range full {
-			full[i].Store(false)
-		}
-	})
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	r := relayer.New(relayer.Settings{Name: "test", Report: reporter.New(reporter.Options{Role: "entry", Name: "test", Out: io.Discard})})
@@ -167,3 +161,30 @@
 		assert.NilError(t, <-ended)
 	}
 }
+
+// Guards against a member that can't be stopped while it waits for room on its disk to save
+// its vote.
+func TestMemberStopsWhileItsVoteIsNotSaved(t *testing.T) {
+	var full, refused atomic.Bool
+	disk := refusingDisk(func([]byte) bool {
+		refused.Store(refused.Load() || full.Load())
+		return full.Load()
+	})
+	l := listen(t, "127.0.0.1:0")
+	stop := startPeer(t, 1, l, []modeler.Member{{ID: 1, Address: l.Addr().String()}}, false, disk)
+	t.Cleanup(func() { full.Store(false) })
+	full.Store(true)
+	for end := time.Now().Add(patience); !refused.Load(); time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "no election")
+	}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		stop()
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(recovery):
+		t.Fatal("the member has not stopped")
+	}
+}
