soaker: attempts that end together, silent workers, and the state and count of jobs

Change: a process that ends by itself with an exit code is a violation, in every soak. So is a job that is shown as running before a worker has begun a task of it, or as pending after it was running, and a number of queued jobs under half of those that no worker has begun 5 s after they were accepted. With -copies, and in TestSoakCopies, jobs have tasks that may run in copies, first attempts that take eight times as long, workers that fail all that they run at once in any order, and workers that are silent for up to 9 s.

--- a/soaker/account.go
+++ b/soaker/account.go
@@ -192,13 +192,21 @@
 // credentialsFor returns credentials with a key that the job's account has in the newest
 // version, and false if it has none, since it is removed.
 func (c *check) credentialsFor(id string) (credentials, bool) {
+	c.mu.Lock()
+	account := c.jobs[id].account
+	c.mu.Unlock()
+	return c.credentialsOf(account)
+}
+
+// credentialsOf returns a key of an account, and whether it has one.
+func (c *check) credentialsOf(account string) (credentials, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.accounts == nil {
 		return credentials{}, true
 	}
 	for _, a := range c.accounts.list {
-		if a.name == c.jobs[id].account && len(a.keys) > 0 {
+		if a.name == account && len(a.keys) > 0 {
 			return bearer(a.keys[rand.IntN(len(a.keys))]), true
 		}
 	}
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -133,6 +133,9 @@
 		if s.gang {
 			step += `,"gang":true`
 		}
+		if s.copies {
+			step += `,"speculative":true`
+		}
 		if s.lasting {
 			step += `,"long_running":true,"requirements":"b"`
 		}
--- a/soaker/check.go
+++ b/soaker/check.go
@@ -24,6 +24,9 @@
 	steps       []jobStep
 	acceptedAt  time.Time
 	cancelledAt time.Time
+	// hasBegun is set once a worker has begun a task, and wasRunning once the job was shown
+	// as running.
+	hasBegun, wasRunning bool
 	// cancelSent is set before a cancel is sent, which may be carried out
 	// although no answer arrives.
 	cancelSent bool
@@ -41,9 +44,9 @@
 	jobs map[string]*job
 	// runningOn maps the names of running tasks to the ids of their workers.
 	runningOn map[string]string
-	// acknowledgedDone holds the names of the tasks whose end as done was
-	// acknowledged to the worker.
-	acknowledgedDone map[string]bool
+	// acknowledgedDone holds the tasks whose end as done was acknowledged to the worker,
+	// by name, with the newest such time.
+	acknowledgedDone map[string]time.Time
 	// doneTasks holds the names of the tasks that some worker has completed.
 	doneTasks map[string]bool
 	// failures counts the attempts of each task that have failed.
@@ -73,7 +76,7 @@
 func newCheck() *check {
 	return &check{
 		jobs: make(map[string]*job), runningOn: make(map[string]string),
-		acknowledgedDone: make(map[string]bool), doneTasks: make(map[string]bool),
+		acknowledgedDone: make(map[string]time.Time), doneTasks: make(map[string]bool),
 		failures:     make(map[string]int),
 		acknowledged: make(chan struct{}, 1),
 	}
@@ -180,10 +183,12 @@
 	case !j.cancelledAt.IsZero() && time.Since(j.cancelledAt) > cancelLimit && order.Wait >= 0:
 		c.checkLateStart(s, order, time.Since(j.cancelledAt))
 	}
-	if other := c.runningOn[order.Task]; other != "" && other != s.id {
+	j.hasBegun = true
+	step := j.steps[stepOf(order.Task)]
+	if other := c.runningOn[order.Task]; other != "" && other != s.id && !step.copies {
 		c.addViolation("task %s runs on %s and on %s", order.Task, other, s.id)
 	}
-	if c.acknowledgedDone[order.Task] {
+	if at, isDone := c.acknowledgedDone[order.Task]; isDone && (!step.copies || s.isLateCopy(order, time.Since(at))) {
 		c.addViolation("task %s started again on %s after its end was acknowledged", order.Task, s.id)
 	}
 	if step := stepOf(order.Task); step > 0 {
@@ -193,7 +198,6 @@
 			}
 		}
 	}
-	step := j.steps[stepOf(order.Task)]
 	if c.runningOn[order.Task] == "" {
 		c.addUse(j, step.cores)
 	}
@@ -202,7 +206,11 @@
 	if s.failing {
 		return failureTime, step
 	}
-	return time.Duration(200+len(order.Task)*7%400) * time.Millisecond, step
+	length := time.Duration(200+len(order.Task)*7%400) * time.Millisecond
+	if step.copies && isLong(order.Task, order.Attempt) {
+		length *= longFactor
+	}
+	return length, step
 }
 
 // checkLateStart checks an order that has started a task so long after its cancel was
@@ -242,7 +250,7 @@
 func (c *check) endAcknowledged(name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.acknowledgedDone[name] = true
+	c.acknowledgedDone[name] = time.Now()
 }
 
 // checkVersion checks the configuration version that a process returned for a
@@ -289,6 +297,7 @@
 	if j.finalState != "" && state != j.finalState && state != "gone" {
 		c.addViolation("job %s was %s and is %s", id, j.finalState, state)
 	}
+	c.checkShownState(id, state, from)
 	if state == "completed" || state == "cancelled" || state == "failed" {
 		j.finalState = state
 	}
--- a/soaker/mass.go
+++ b/soaker/mass.go
@@ -33,6 +33,8 @@
 	cores   int
 	gang    bool
 	lasting bool
+	// copies means that several attempts of a task may run at once.
+	copies bool
 }
 
 // usualSteps are the steps of the jobs that all soaks submit.
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -152,8 +152,10 @@
 // restartAtEnd waits for the end of the process and starts it again, unless it is
 // stopping.
 func (w *world) restartAtEnd(p *process, command *exec.Cmd, ended chan struct{}) {
-	// The exit code of a killed process carries no information.
 	_ = command.Wait()
+	if code := command.ProcessState.ExitCode(); code > 0 {
+		w.check.recordViolation("%s has ended by itself with exit code %d", p.name, code)
+	}
 	p.mu.Lock()
 	p.running = false
 	again := !p.stopping && w.ctx.Err() == nil
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -28,6 +28,7 @@
 	overlap     = flag.Bool("overlap", true, "with -replace, add partitions, disks lost during replacements and signals in series")
 	mass        = flag.Bool("mass", false, "with -seed and -seeds, add wide jobs and kinds of workers that all fail")
 	returns     = flag.Bool("return", false, "with -seed and -seeds, let workers come back under their id and orders arrive late there")
+	copies      = flag.Bool("copies", false, "with -seed and -seeds, add tasks that may run in copies, and workers that fail all at once or are silent")
 	accounts    = flag.Bool("accounts", true, "with -seed and -seeds, give odd seeds client accounts")
 	concurrency = flag.Int("concurrency", 8, "number of soaks to run side by side")
 )
@@ -88,6 +89,10 @@
 // late there.
 var keptReturns = []uint64{1, 2, 3}
 
+// keptCopies are seeds with tasks that may run in copies, workers that fail all that they run
+// at once, and workers that are silent for longer than their lease.
+var keptCopies = []uint64{1, 2, 3, 4}
+
 // keptAccounts are seeds with client accounts, whose keys and quotas change.
 var keptAccounts = []uint64{1, 3}
 
@@ -125,6 +130,7 @@
 	plain extent = iota
 	massive
 	returning
+	copying
 	replacing
 	overlapping
 )
@@ -136,6 +142,8 @@
 		return massive
 	case *returns && !*replace:
 		return returning
+	case *copies && !*replace:
+		return copying
 	case !*replace:
 		return plain
 	case !*overlap:
@@ -179,7 +187,7 @@
 		Seed: s, Length: length, Binary: k.binary, Folder: testFolder(t),
 		Control: k.control, Entries: *entries, Workers: *workers,
 		Replace: faults >= replacing, Overlap: faults >= overlapping, Mass: faults == massive || *mass,
-		Return: faults == returning || *returns, Accounts: hasAccounts,
+		Return: faults == returning || *returns, Copies: faults == copying || *copies, Accounts: hasAccounts,
 	})
 	assert.NilError(t, err)
 	t.Logf("seed %d: %d jobs, %d starts, %d calls with status 401, %d faults", s, report.Jobs, report.Starts, report.RefusedKeys, len(report.Faults))
@@ -237,6 +245,12 @@
 	newSoak(t).run(t, returning, *length, keptReturns...)
 }
 
+// Guards against a process that ends when several attempts of a job end at once, and against
+// jobs that are shown as running, and not counted as queued, before a worker has begun them.
+func TestSoakCopies(t *testing.T) {
+	newSoak(t).run(t, copying, *length, keptCopies...)
+}
+
 // Guards against calls that succeed with a key that was revoked or never valid, tasks that
 // start beyond their account's quota, and jobs of removed accounts that are lost.
 func TestSoakAccounts(t *testing.T) {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -38,6 +38,9 @@
 	// Return lets workers leave, crash and come back under their id, while orders are on
 	// their way that arrive late at a later generation, and adds tasks that last.
 	Return bool
+	// Copies adds jobs whose tasks may run in copies, workers that fail all that they run at
+	// once, and workers that are silent for so long that starts never arrive there.
+	Copies bool
 	// Accounts adds client accounts, whose keys and quotas two operators change at the
 	// same time, and calls with keys that are revoked or unknown.
 	Accounts bool
@@ -160,6 +163,7 @@
 	for range callerCount {
 		callers.Go(func() { w.runCaller(running) })
 	}
+	callers.Go(func() { w.countQueued(running) })
 	w.sleep(startupTime)
 	var lasting []string
 	if settings.Mass || settings.Return {
@@ -177,6 +181,14 @@
 			returns.Go(func() { w.returnWorkers(settings.Length, random) })
 		}
 	}
+	if settings.Copies {
+		for i := range copyCallers {
+			random := rand.New(rand.NewPCG(settings.Seed, uint64(8+i)))
+			callers.Go(func() { w.runCopies(running, random) })
+		}
+		random := rand.New(rand.NewPCG(settings.Seed, 7))
+		returns.Go(func() { w.endAttempts(settings.Length, random) })
+	}
 	w.injectAllFaults(settings.Length)
 	returns.Wait()
 	recovered := w.awaitRecovery()
@@ -187,6 +199,7 @@
 		w.endLasting(lasting)
 		w.checkEnd()
 		w.awaitJobs()
+		w.checkNoneQueued()
 	}
 	endWatching()
 	watcher.Wait()
--- a/soaker/worker.go
+++ b/soaker/worker.go
@@ -78,6 +78,8 @@
 	lateShare float64
 	// failing means that the worker fails all that it starts.
 	failing bool
+	// isDark means that the worker gets no orders and sends nothing.
+	isDark bool
 }
 
 // order is an order that has arrived at a worker.
@@ -196,10 +198,13 @@
 			}
 		}
 		s.mu.Lock()
-		isDown, late := s.isDown, rand.Float64() < s.lateShare
+		isDown, isDark, late := s.isDown, s.isDark, rand.Float64() < s.lateShare
 		body.crashes = s.crashes
 		s.mu.Unlock()
-		if isDown {
+		if isDark {
+			<-r.Context().Done()
+		}
+		if isDown || isDark {
 			panic(http.ErrAbortHandler)
 		}
 		if late && r.URL.Path != imitator.RenewPath {
@@ -215,6 +220,13 @@
 			return
 		}
 		status, answer := do(&body)
+		s.mu.Lock()
+		isDark = s.isDark
+		s.mu.Unlock()
+		if isDark {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		data, err := json.Marshal(answer)
 		if err != nil {
 			panic(err)
@@ -402,7 +414,7 @@
 func (s *worker) announce(client *http.Client) bool {
 	s.mu.Lock()
 	s.sequence++
-	isDown, controlAddress, crashes, remaining := s.isDown, s.controlAddress, s.crashes, int64(-1)
+	isDown, controlAddress, crashes, remaining := s.isDown || s.isDark, s.controlAddress, s.crashes, int64(-1)
 	if !s.leaveAt.IsZero() {
 		remaining = max(time.Until(s.leaveAt), 0).Milliseconds()
 	}
