dispatcher: new leaders know when the leases of a silent worker are over

Cause: a leader that has not heard a worker doesn't know when its leases were last extended, and waited for the longest lease from its own beginning, each leader anew. Change: the leader records that a worker with attempts gives no answer, with the time until its leases are over, and extends none before the worker's return is recorded. Members count that time on their monotonic clocks from the moment they apply the record. A new leader relies on the record of the leader right before it and renews it for its own term, so that a leader of an earlier build in between is noticed.

--- a/applier/applier.go
+++ b/applier/applier.go
@@ -129,6 +129,8 @@
 		return a.flows.RecordEnds(a.now, c.FlowEnds)
 	case modeler.RecordWorkers:
 		a.flows.RecordDepartures(a.now, c.Left)
+		a.flows.RecordReturns(c.Returned)
+		a.flows.RecordSilences(c.Silent)
 		return a.flows.UpdateWorkers(c.Announcements, c.Departures())
 	case modeler.RecordLearned:
 		return a.flows.RecordLearned(c.Learned)
--- a/controller/core.go
+++ b/controller/core.go
@@ -86,7 +86,11 @@
 	bytesSinceSnapshot modeler.Bytes
 	bytesInSnapshot    modeler.Bytes
 	appliedTerm        modeler.Term
-	appliedIndex       modeler.Index
+	// formerTerm is the newest term before appliedTerm that an applied entry had.
+	formerTerm   modeler.Term
+	appliedIndex modeler.Index
+	// leasesOver has the reading from which no lease of a silent worker can be valid.
+	leasesOver map[modeler.WorkerID]modeler.ClockReading
 	// unapplied holds the committed entries that are not applied yet.
 	unapplied []modeler.LogEntry
 	// lastEventPosted is when the last handled event was posted.
@@ -118,6 +122,7 @@
 		entryLinks:       make(map[modeler.EntrySession]*linker.Link),
 		entrySessions:    make(map[*linker.Link]modeler.EntrySession),
 		refusalLimits:    make(map[modeler.MemberID]*repeatLimit),
+		leasesOver:       make(map[modeler.WorkerID]modeler.ClockReading),
 		snapshot:         saved.Snapshot.Index,
 		appliedTerm:      saved.Snapshot.Term,
 	}
@@ -125,6 +130,7 @@
 		if err := c.state.Load(saved.Snapshot.Data); err != nil {
 			return nil, err
 		}
+		c.noteSilences()
 	}
 	c.log = replicator.New(replicator.Config{
 		Self:        controller.settings.Member,
@@ -364,10 +370,11 @@
 		if err := c.state.Load(s.Data); err != nil {
 			return err
 		}
+		c.noteSilences()
 	}
 	c.unapplied = slices.DeleteFunc(c.unapplied, func(e modeler.LogEntry) bool { return e.Index <= s.Index })
 	c.snapshot = s.Index
-	c.appliedTerm = s.Term
+	c.appliedTerm, c.formerTerm = s.Term, 0
 	c.appliedIndex = s.Index
 	return nil
 }
@@ -392,7 +399,9 @@
 			c.nextTick = 0
 		}
 		c.forwardFlowChanges()
-		c.appliedTerm = e.Term
+		if e.Term != c.appliedTerm {
+			c.appliedTerm, c.formerTerm = e.Term, c.appliedTerm
+		}
 		c.appliedIndex = e.Index
 		c.bytesSinceSnapshot += modeler.Bytes(len(e.Data))
 		c.answerProposal(e, result)
--- a/controller/flows.go
+++ b/controller/flows.go
@@ -73,6 +73,27 @@
 
 func (flowOrderAnswered) isEvent() {}
 
+// newCell returns the dispatcher of a new leader. Only the record of the leader before it
+// tells when the leases of a silent worker are over: one of an earlier build could lead after
+// the record and extend them.
+func (c *core) newCell(now modeler.ClockReading, term modeler.Term, settings dispatcher.Settings) *dispatcher.Dispatcher {
+	cell := dispatcher.New(now, c.logTime(), term, c.state.Flows(), settings)
+	for id, silence := range c.state.Flows().Silences() {
+		if silence.Term == c.termBefore(term) {
+			cell.LimitLeases(now, silence, c.leasesOver[id])
+		}
+	}
+	return cell
+}
+
+// termBefore returns the term of the newest entry of an earlier term than the given one.
+func (c *core) termBefore(term modeler.Term) modeler.Term {
+	if c.appliedTerm < term {
+		return c.appliedTerm
+	}
+	return c.formerTerm
+}
+
 func newFlowLeadership(c *core, now modeler.ClockReading, term modeler.Term) *flowLeadership {
 	settings := c.controller.settings.Flows
 	if settings == nil {
@@ -80,7 +101,7 @@
 	}
 	l := &flowLeadership{
 		core:      c,
-		cell:      dispatcher.New(now, c.logTime(), term, c.state.Flows(), settings.Bounds),
+		cell:      c.newCell(now, term, settings.Bounds),
 		questions: make(map[*linker.Link]*modeler.PermitRequest),
 
 		carrier: carrier.New(term),
@@ -174,11 +195,11 @@
 			l.core.controller.settings.Report.Warn("announced workers are not recorded", "count", len(out.Announced), "error", err)
 		}
 	}
-	if len(out.Departed) > 0 {
-		command := &modeler.Command{Kind: modeler.RecordWorkers}
+	if len(out.Departed)+len(out.Silent)+len(out.Returned) > 0 {
+		command := &modeler.Command{Kind: modeler.RecordWorkers, Silent: out.Silent, Returned: out.Returned}
 		command.SetDepartures(out.Departed)
 		if err := l.core.propose(now, command, nil); err != nil {
-			l.core.controller.settings.Report.Warn("departed workers are not recorded", "count", len(out.Departed), "error", err)
+			l.core.controller.settings.Report.Warn("lost workers are not recorded", "departed", len(out.Departed), "silent", len(out.Silent), "returned", len(out.Returned), "error", err)
 		}
 	}
 	if out.Learned != nil {
@@ -568,10 +589,30 @@
 	return modeler.Reply{}, &modeler.Command{Kind: modeler.RecordWorkers, Announcements: []modeler.WorkerAnnouncement{*m}}
 }
 
+// noteSilence notes when the leases of a worker whose silence was recorded are over.
+func (c *core) noteSilence(id modeler.WorkerID) {
+	if silence, isSilent := c.state.Flows().Silences()[id]; isSilent {
+		c.leasesOver[id] = c.controller.now().Add(silence.Rest)
+	}
+}
+
+// noteSilences replaces what was noted by what a snapshot holds.
+func (c *core) noteSilences() {
+	clear(c.leasesOver)
+	for id := range c.state.Flows().Silences() {
+		c.noteSilence(id)
+	}
+}
+
 // forwardFlowChanges passes changes of flows to the leader's dispatcher, before
 // those who proposed them get their replies.
 func (c *core) forwardFlowChanges() {
 	changes := c.state.Flows().Changes()
+	for i := range changes {
+		if changes[i].Kind == sequencer.WorkerSilent {
+			c.noteSilence(changes[i].Worker)
+		}
+	}
 	if c.leader != nil && c.leader.flows != nil && len(changes) > 0 {
 		c.leader.flows.cell.ApplyChanges(c.controller.now(), c.logTime(), changes)
 	}
--- a/controller/quorum_test.go
+++ b/controller/quorum_test.go
@@ -94,7 +94,9 @@
 	log    *memberLog
 	report *reporter.Reporter
 	folder string
-	stop   func()
+	// send answers the orders to workers; without it they are not sent.
+	send func(*modeler.Order) modeler.OrderAnswer
+	stop func()
 }
 
 // start starts the member, or starts it again with its data.
@@ -110,7 +112,10 @@
 				MaxLease: 6 * time.Second, MaxStopTime: 400 * time.Millisecond, GangTimeout: 3 * time.Second, MaxTimeOverTarget: 4 * time.Second,
 				Log: func(event string, pairs ...any) { m.report.Info(event, pairs...) },
 			},
-			Send: func(context.Context, *modeler.Order) modeler.OrderAnswer {
+			Send: func(_ context.Context, o *modeler.Order) modeler.OrderAnswer {
+				if m.send != nil {
+					return m.send(o)
+				}
 				return modeler.OrderAnswer{Outcome: modeler.OrderUnsent}
 			},
 		},
@@ -140,6 +145,12 @@
 
 // startWatchedGroup starts a group and returns its members, the leader first.
 func startWatchedGroup(t *testing.T, size int, disk *storer.Disk) ([]*watchedMember, *relayer.Relayer) {
+	return startGroupWithWorkers(t, size, disk, nil)
+}
+
+// startGroupWithWorkers is startWatchedGroup with a function that answers the orders to
+// workers; without it they are not sent.
+func startGroupWithWorkers(t *testing.T, size int, disk *storer.Disk, send func(*modeler.Order) modeler.OrderAnswer) ([]*watchedMember, *relayer.Relayer) {
 	var members []*watchedMember
 	var first []modeler.Member
 	var listeners []net.Listener
@@ -148,7 +159,7 @@
 		l := listen(t, "127.0.0.1:0")
 		m := modeler.Member{ID: id + 1, Address: l.Addr().String()}
 		listeners, first, addresses = append(listeners, l), append(first, m), append(addresses, m.Address)
-		members = append(members, &watchedMember{Member: m, folder: filepath.Join(t.TempDir(), "data")})
+		members = append(members, &watchedMember{Member: m, folder: filepath.Join(t.TempDir(), "data"), send: send})
 	}
 	for i, m := range members {
 		m.start(t, listeners[i], first, disk)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -49,6 +49,10 @@
 	Departed []modeler.WorkerDeparture
 	// Announced lists workers to record, since a process answers as their newest generation.
 	Announced []modeler.WorkerAnnouncement
+	// Silent lists workers to record as silent, and Returned those that answer again. What is
+	// not recorded is listed again.
+	Silent   []modeler.WorkerSilence
+	Returned []modeler.WorkerID
 	// Learned is to be proposed to the replicated log, if it is not nil. If it is lost,
 	// it is listed again.
 	Learned *modeler.Learned
@@ -210,7 +214,8 @@
 	}
 	d.ledger.SetAccounts(state.Layout())
 	for _, m := range state.Workers() {
-		d.addHost(now, m)
+		h := d.addHost(now, m)
+		_, h.silence.isRecorded = state.Silences()[m.ID]
 	}
 	d.settings.Log("workers taken over", "count", len(d.hostList), "term", term)
 	d.restoreLearned()
@@ -250,6 +255,8 @@
 			d.updateWorker(now, c.Worker)
 		case sequencer.WorkerDeparted:
 			d.handleDeparted(now, c.Worker)
+		case sequencer.WorkerReturned:
+			d.handleReturned(now, c.Worker)
 		case sequencer.LayoutChanged:
 			d.updateAccounts()
 		}
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -81,6 +81,8 @@
 	// newerGeneration is the newest generation of the worker that has answered without
 	// being announced, or 0.
 	newerGeneration modeler.Generation
+	// silence is what is recorded of the worker if it gives no answer.
+	silence silence
 	// claim is the newest announcement of a newer generation that no process has confirmed,
 	// or nil.
 	claim *claim
@@ -169,8 +171,12 @@
 func (d *Dispatcher) leasesExpireAt(h *host) modeler.ClockReading {
 	if !h.hasAnswered {
 		// An earlier leader, or an order to an earlier generation, could grant leases
-		// until this leader added the worker.
-		return h.addedAt.Add(maxElapsed(d.settings.MaxLease) + leaseMargin)
+		// until this leader added the worker, if no earlier end is recorded.
+		end := h.addedAt.Add(maxElapsed(d.settings.MaxLease) + leaseMargin)
+		if h.silence.leasesOverAt != 0 {
+			end = min(end, h.silence.leasesOverAt)
+		}
+		return end
 	}
 	if h.leaseLimit <= h.clock {
 		return h.clockAt.Add(leaseMargin)
@@ -375,6 +381,8 @@
 		return "it has not answered this leader"
 	case h.unanswered > 0, len(h.runs) > 0 && d.heardBy(now).Sub(h.heardAt) > maxAnswerAge:
 		return "it does not answer"
+	case h.silence.isRecorded:
+		return "its return is not recorded"
 	case h.startRepeated:
 		return "a start had to be sent again"
 	case d.heardBy(now).Sub(h.announcedAt) > maxAnnouncementAge:
@@ -427,7 +435,7 @@
 	if h.unanswered == 0 && h.cursor > h.acknowledgedCursor {
 		o.Cursor = h.cursor
 	}
-	if h.hasAnswered && len(h.runs) > 0 {
+	if h.hasAnswered && len(h.runs) > 0 && !h.silence.isRecorded {
 		o.Deadline = d.leaseDeadline(now, h)
 		// A worker that missed the last renewal answers at once, so that its return
 		// is noticed early.
@@ -452,9 +460,9 @@
 // leaseDeadline returns the lease deadline for an order and records it. The
 // lease of a worker that doesn't answer is not extended: the order may arrive
 // late, and each extension would delay the moment from which the worker's tasks
-// have certainly ended.
+// have certainly ended. Nor is that of a worker whose silence is recorded.
 func (d *Dispatcher) leaseDeadline(now modeler.ClockReading, h *host) modeler.WorkerClock {
-	if h.unanswered > 0 {
+	if h.unanswered > 0 || h.silence.isRecorded {
 		return h.leaseLimit
 	}
 	end := h.estimatedClock(now).Add(d.settings.MaxLease)
@@ -513,13 +521,17 @@
 	if h.unanswered > 0 {
 		d.settings.Log("worker answers again", "worker", o.Worker, "failures", h.unanswered)
 	}
+	returns := h.silence.isRecorded && (h.unanswered > 0 || !h.hasAnswered)
 	h.unanswered = 0
 	h.acknowledgedCursor = max(h.acknowledgedCursor, o.Cursor)
 	d.updateClock(now, h, a)
 	d.reconcileLists(now, h, a)
 	h.renewAt = now
+	if returns {
+		d.listReturn(now, h)
+	}
 	switch {
-	case h.pendingEnds > 0 || h.endsDeferred || h.endsRemain:
+	case h.silence.isRecorded, h.pendingEnds > 0 || h.endsDeferred || h.endsRemain:
 		h.renewAt = now.Add(renewPause)
 	case len(h.runs) == 0:
 		h.renewAt = now.Add(idleRenewInterval)
@@ -753,6 +765,7 @@
 		d.listDeparture(now, h)
 	}
 	d.askClaimant(now, h)
+	d.tickSilence(now, h)
 	for _, r := range h.runs {
 		d.tickRun(now, h, r)
 	}
--- a/dispatcher/rig_test.go
+++ b/dispatcher/rig_test.go
@@ -173,10 +173,14 @@
 	orderDelay time.Duration
 	// renewals is the largest number of renewals sent by one call of Output.
 	renewals int
+	// leasesOver holds when the leases of silent workers are over.
+	leasesOver map[modeler.WorkerID]modeler.ClockReading
 	// sentRenewals counts the renewals sent to each worker.
 	sentRenewals map[modeler.WorkerID]int
 	// commitTime is how long a command takes to be committed.
 	commitTime time.Duration
+	// committedAt is when the last scheduled command is committed.
+	committedAt modeler.ClockReading
 	// eventsPerTick is how many events the leader processes in a tick; 0 means all.
 	// The others wait in inbox.
 	eventsPerTick int
@@ -223,6 +227,7 @@
 		finishedAt:           make(map[modeler.FlowID]modeler.ClockReading),
 		failures:             make(map[modeler.FlowTask]int),
 		events:               make(map[string]int),
+		leasesOver:           make(map[modeler.WorkerID]modeler.ClockReading),
 		sentRenewals:         make(map[modeler.WorkerID]int),
 
 		doneAt:       make(map[modeler.FlowStart]modeler.ClockReading),
@@ -243,8 +248,8 @@
 // electLeader starts a new leader on the committed state.
 func (r *rig) electLeader() {
 	r.term++
-	r.inbox, r.unproposedEnds = nil, nil
-	r.state.Changes()
+	r.inbox, r.unproposedEnds, r.committedAt = nil, nil, 0
+	r.takeChanges()
 	r.leader = dispatcher.New(r.now, r.stamp(), r.term, r.state, dispatcher.Settings{
 		MaxLease: lease, MaxStopTime: stopTime, GangTimeout: 3 * time.Second, MaxTimeOverTarget: 4 * time.Second, MaxListedEnds: r.maxListedEnds,
 		Disabled:     r.disabled,
@@ -257,17 +262,41 @@
 			}
 		},
 	})
+	for id, s := range r.state.Silences() {
+		if s.Term+1 == r.term {
+			r.leader.LimitLeases(r.now, s, r.leasesOver[id])
+		}
+	}
+}
+
+// takeChanges returns the changes of the state, and notes when the leases of workers whose
+// silence they record are over, as each member does.
+func (r *rig) takeChanges() []sequencer.Change {
+	changes := r.state.Changes()
+	for i := range changes {
+		if s, isSilent := r.state.Silences()[changes[i].Worker]; isSilent && changes[i].Kind == sequencer.WorkerSilent {
+			r.leasesOver[s.Worker] = r.now.Add(s.Rest)
+		}
+	}
+	return changes
 }
 
 func (r *rig) schedule(d time.Duration, do func()) {
 	r.scheduled = append(r.scheduled, scheduledEvent{at: r.now.Add(d), do: do})
 }
 
+// scheduleCommit calls do after the time of a commit, and after the commits that were
+// scheduled before.
+func (r *rig) scheduleCommit(do func()) {
+	r.committedAt = max(r.committedAt, r.now.Add(r.commitTime))
+	r.schedule(r.committedAt.Sub(r.now), do)
+}
+
 // commit applies a command and passes the changes to the current leader.
 func (r *rig) commit(apply func()) {
 	r.t.Helper()
 	apply()
-	r.leader.ApplyChanges(r.now, r.stamp(), r.state.Changes())
+	r.leader.ApplyChanges(r.now, r.stamp(), r.takeChanges())
 	if r.checks {
 		assert.NilError(r.t, r.leader.Check(), "%v", time.Duration(r.now))
 		r.state.ForEachFlow(r.checkState)
@@ -445,22 +474,33 @@
 	}
 	r.renewals = max(r.renewals, renewals)
 	if len(out.Announced) > 0 {
-		r.schedule(r.commitTime, func() {
+		r.scheduleCommit(func() {
 			r.commit(func() { r.state.UpdateWorkers(out.Announced, nil) })
 		})
 	}
 	if len(out.Departed) > 0 {
-		r.schedule(r.commitTime, func() {
+		r.scheduleCommit(func() {
 			r.commit(func() { r.state.UpdateWorkers(nil, out.Departed) })
 		})
 	}
+	if len(out.Silent)+len(out.Returned) > 0 {
+		r.scheduleCommit(func() {
+			if term != r.term {
+				return
+			}
+			r.commit(func() {
+				r.state.RecordReturns(out.Returned)
+				r.state.RecordSilences(out.Silent)
+			})
+		})
+	}
 	if out.Learned != nil && (r.onLearned == nil || r.onLearned(out.Learned)) {
-		r.schedule(r.commitTime, func() {
+		r.scheduleCommit(func() {
 			r.commit(func() { r.state.RecordLearned(out.Learned) })
 		})
 	}
 	if len(out.Starts) > 0 {
-		r.schedule(r.commitTime, func() {
+		r.scheduleCommit(func() {
 			r.deliver(func() {
 				if term != r.term {
 					return
@@ -475,7 +515,7 @@
 	}
 	r.begunRecords += len(out.Begun)
 	if ends := r.entryOf(out.Ends); len(ends)+len(out.Begun) > 0 {
-		r.schedule(r.commitTime, func() {
+		r.scheduleCommit(func() {
 			r.deliver(func() {
 				if term != r.term {
 					return
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -509,7 +509,7 @@
 		}
 	case r.phase == starting && r.unit != nil && r.unit.step.Gang && d.heardBy(now).Sub(r.startedAt) > d.settings.GangTimeout/gangStartDivisor:
 		d.stopGang(now, r.unit, r.attempt, "a member of the gang did not start")
-	case r.phase == starting && h.unanswered > 0:
+	case r.phase == starting && (h.unanswered > 0 || h.silence.isRecorded):
 		// The worker may have restarted, and a repeated start would be carried out
 		// by its next generation.
 	case r.phase == starting && d.heardBy(now).Sub(r.sentAt) >= resendAfter:
--- a/modeler/command.go
+++ b/modeler/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"goldcreststack.example/goldcreststack/classifier"
 )
@@ -63,6 +64,20 @@
 	// stay. Entries of earlier builds lack it.
 	DepartedGenerations []Generation `cbor:"20,keyasint,omitempty"`
 	Learned             *Learned     `cbor:"21,keyasint,omitempty"`
+	// Silent lists workers that give no answer, and Returned those that answer again.
+	Silent   []WorkerSilence `cbor:"23,keyasint,omitempty"`
+	Returned []WorkerID      `cbor:"24,keyasint,omitempty"`
+}
+
+// WorkerSilence tells that a worker gives no answer. All leases of its generation are over
+// when Rest has passed since the record was applied, and the leader of Term extends none
+// before the worker's return is recorded.
+type WorkerSilence struct {
+	_          struct{} `cbor:",toarray"`
+	Worker     WorkerID
+	Generation Generation
+	Term       Term
+	Rest       time.Duration
 }
 
 // WorkerDeparture is the loss of a worker's generation, and of earlier ones.
--- a/sequencer/sequencer.go
+++ b/sequencer/sequencer.go
@@ -147,6 +147,8 @@
 	AttemptEnded
 	WorkerUpdated
 	WorkerDeparted
+	WorkerSilent
+	WorkerReturned
 	LayoutChanged
 )
 
@@ -184,9 +186,11 @@
 	// departures holds the last generation of each worker that has left
 	// permanently, until endedFlowRetention has passed.
 	departures map[modeler.WorkerID]DepartedWorker
-	endedFlow  []endedFlow
-	changes    []Change
-	learned    learned
+	// silences holds the workers that give no answer.
+	silences  map[modeler.WorkerID]modeler.WorkerSilence
+	endedFlow []endedFlow
+	changes   []Change
+	learned   learned
 }
 
 // DepartedWorker is the last generation of a worker that has left permanently.
@@ -205,6 +209,7 @@
 		pending:    make(map[modeler.QueueID]int),
 		departures: make(map[modeler.WorkerID]DepartedWorker),
 		openOf:     make(map[modeler.TeamName]int),
+		silences:   make(map[modeler.WorkerID]modeler.WorkerSilence),
 		learned:    newLearned(),
 	}
 }
@@ -589,9 +594,7 @@
 		if m.Generation != 0 {
 			s.departures[id] = DepartedWorker{Worker: id, Generation: m.Generation, DepartedAt: now}
 		}
-		delete(s.workers, id)
-		delete(s.learned.workers, id)
-		s.recordChange(Change{Kind: WorkerDeparted, Worker: id})
+		s.removeWorker(id)
 	}
 }
 
@@ -823,6 +826,7 @@
 		}
 		if m.Generation != held.Generation {
 			delete(s.learned.workers, m.ID)
+			delete(s.silences, m.ID)
 		}
 		s.workers[m.ID] = m
 		s.recordChange(Change{Kind: WorkerUpdated, Worker: m.ID})
@@ -830,10 +834,16 @@
 	for _, gone := range departed {
 		held, known := s.workers[gone.Worker]
 		if known && (gone.Generation == 0 || held.Generation <= gone.Generation) {
-			delete(s.workers, gone.Worker)
-			delete(s.learned.workers, gone.Worker)
-			s.recordChange(Change{Kind: WorkerDeparted, Worker: gone.Worker})
+			s.removeWorker(gone.Worker)
 		}
 	}
 	return modeler.Result{}
 }
+
+// removeWorker removes a worker with what is recorded of it.
+func (s *Sequencer) removeWorker(id modeler.WorkerID) {
+	delete(s.workers, id)
+	delete(s.learned.workers, id)
+	delete(s.silences, id)
+	s.recordChange(Change{Kind: WorkerDeparted, Worker: id})
+}
--- a/sequencer/snapshot.go
+++ b/sequencer/snapshot.go
@@ -17,6 +17,7 @@
 	// them on the leader only.
 	LearnedWorkers []modeler.LearnedWorker `cbor:"5,keyasint,omitempty"`
 	LearnedQueues  []modeler.LearnedQueue  `cbor:"6,keyasint,omitempty"`
+	Silences       []modeler.WorkerSilence `cbor:"7,keyasint,omitempty"`
 }
 
 // TakeSnapshot returns a copy of the state that can be encoded while the state changes.
@@ -35,6 +36,9 @@
 	for _, l := range s.departures {
 		out.Departed = append(out.Departed, l)
 	}
+	for _, record := range s.silences {
+		out.Silences = append(out.Silences, record)
+	}
 	for _, w := range s.learned.workers {
 		out.LearnedWorkers = append(out.LearnedWorkers, w)
 	}
@@ -57,6 +61,7 @@
 	slices.SortFunc(s.Flows, func(a, b Flow) int { return cmp.Compare(a.Spec.ID, b.Spec.ID) })
 	slices.SortFunc(s.Workers, func(a, b modeler.WorkerAnnouncement) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(s.Departed, func(a, b DepartedWorker) int { return cmp.Compare(a.Worker, b.Worker) })
+	slices.SortFunc(s.Silences, func(a, b modeler.WorkerSilence) int { return cmp.Compare(a.Worker, b.Worker) })
 	slices.SortFunc(s.LearnedWorkers, func(a, b modeler.LearnedWorker) int { return cmp.Compare(a.Worker, b.Worker) })
 	slices.SortFunc(s.LearnedQueues, func(a, b modeler.LearnedQueue) int { return cmp.Compare(a.Queue, b.Queue) })
 }
@@ -94,5 +99,8 @@
 	for _, l := range saved.Departed {
 		s.departures[l.Worker] = l
 	}
+	for _, record := range saved.Silences {
+		s.silences[record.Worker] = record
+	}
 	s.RecordLearned(&modeler.Learned{Workers: saved.LearnedWorkers, Queues: saved.LearnedQueues})
 }
