dispatcher: ends are acknowledged only to the generation that has listed them

Cause: a worker restarted while the end of its former generation was being committed for some hundred milliseconds. No renewal is sent meanwhile, so nothing showed the restart; the new generation carried out a start, its attempt failed, and the renewal that acknowledged the former generation's end by its number dropped the failure unread. Change: an end is acknowledged at once only if the worker has listed within 300 ms. Otherwise the next renewal asks for the lists first, which tell the generation, and the one after it acknowledges. Test: TestCursorAfterSlowCommit fails before (two starts).

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -449,6 +449,36 @@
 	assert.Equal(t, r.flowState("f"), modeler.FlowCompleted)
 }
 
+// Guards against an end of a new generation that is acknowledged before it was read, by the
+// acknowledgement of an end of the former one that took long to be committed. The failure
+// would not count, and the task start again.
+func TestCursorAfterSlowCommit(t *testing.T) {
+	r := newRig(t, 15)
+	r.addWorkers(1, 8)
+	r.run(2 * time.Second)
+	r.submit(flow("f", step(1, 1, 180*time.Millisecond)))
+	r.run(100 * time.Millisecond)
+	assert.Equal(t, r.countRunning(), 1)
+	// The start of g is proposed before the end of f.
+	r.commitTime = time.Second
+	g := flow("g", step(1, 1, time.Second))
+	g.Policy.Attempts = 1
+	r.submit(g)
+	r.run(200 * time.Millisecond)
+	w := r.workers["w00"]
+	assert.Equal(t, len(w.ended), 1)
+	r.crash(w)
+	r.beginGeneration(w)
+	w.failsTasks = true
+	r.run(1500 * time.Millisecond)
+	w.announced = w.announcement.Generation
+	r.announce(w.announcement)
+	r.run(5 * time.Second)
+	assert.Equal(t, r.flowState("f"), modeler.FlowCompleted)
+	assert.Equal(t, r.flowState("g"), modeler.FlowFailed)
+	assert.Equal(t, r.starts[modeler.FlowTask{Flow: "g"}], 1)
+}
+
 // Guards against a start that is repeated to a worker that doesn't answer: the
 // next generation would carry it out.
 func TestNoStartsToSilentWorker(t *testing.T) {
--- a/dispatcher/entry_test.go
+++ b/dispatcher/entry_test.go
@@ -143,6 +143,10 @@
 			r.loseWorker()
 		case 5:
 			r.announceForeign()
+		case 6:
+			// Commits take long for a while.
+			r.commitTime = time.Duration(r.random.IntN(4000)) * time.Millisecond
+			r.schedule(r.commitTime, func() { r.commitTime = 10 * time.Millisecond })
 		}
 		if r.random.IntN(5) == 0 {
 			r.commit(func() { r.state.Cancel(r.stamp(), f.ID) })
--- a/dispatcher/host.go
+++ b/dispatcher/host.go
@@ -53,6 +53,9 @@
 	// maxAnnouncementAge is the age of a worker's last announcement above which it
 	// counts as silent. Announcements come every 1.5 s.
 	maxAnnouncementAge = 6 * time.Second
+	// maxCursorAge is the age of a list from which the ends in it are acknowledged only once
+	// the worker has listed again: it may have restarted and numbered its ends anew.
+	maxCursorAge = 300 * time.Millisecond
 	// endsAwaitPeriod is how long after its leases have expired the leader waits
 	// for the list of a worker that still sends announcements. Tasks that were done
 	// there before the leases expired would otherwise run again. It is also how long the
@@ -107,6 +110,8 @@
 	// the last proposed one.
 	cursor         modeler.Sequence
 	proposedCursor modeler.Sequence
+	// listedAt is when the worker last answered a renewal, which tells its generation.
+	listedAt modeler.ClockReading
 	// acknowledgedCursor is the cursor that the worker has received.
 	acknowledgedCursor modeler.Sequence
 	// endsDeferred means that some listed ends were not processed, so that the
@@ -423,6 +428,7 @@
 		return
 	}
 	o := modeler.Order{Kind: modeler.RenewOrder}
+	confirmed := true
 	if !h.hasAnswered && h.unanswered == 0 {
 		if d.firstRenewals >= maxFirstRenewals*d.senders {
 			return
@@ -433,13 +439,16 @@
 	// A worker that doesn't answer may have restarted and numbered its ends anew,
 	// so only ends from its last answer are acknowledged.
 	if h.unanswered == 0 && h.cursor > h.acknowledgedCursor {
-		o.Cursor = h.cursor
+		confirmed = now.Sub(h.listedAt) <= maxCursorAge
+		if confirmed {
+			o.Cursor = h.cursor
+		}
 	}
 	if h.hasAnswered && len(h.runs) > 0 && !h.silence.isRecorded {
 		o.Deadline = d.leaseDeadline(now, h)
 		// A worker that missed the last renewal answers at once, so that its return
 		// is noticed early.
-		if h.unanswered == 0 {
+		if h.unanswered == 0 && confirmed {
 			o.Wait = d.renewalWait(now)
 		}
 	}
@@ -524,6 +533,7 @@
 	returns := h.silence.isRecorded && (h.unanswered > 0 || !h.hasAnswered)
 	h.unanswered = 0
 	h.acknowledgedCursor = max(h.acknowledgedCursor, o.Cursor)
+	h.listedAt = now
 	d.updateClock(now, h, a)
 	d.reconcileLists(now, h, a)
 	h.renewAt = now
@@ -533,6 +543,8 @@
 	switch {
 	case h.silence.isRecorded, h.pendingEnds > 0 || h.endsDeferred || h.endsRemain:
 		h.renewAt = now.Add(renewPause)
+	case h.cursor > h.acknowledgedCursor:
+		// The list has confirmed the generation, so the next renewal acknowledges its ends.
 	case len(h.runs) == 0:
 		h.renewAt = now.Add(idleRenewInterval)
 	}
