dispatcher: the two ends of an abandoned attempt are told apart

Cause: an attempt that is copied has two ends: the record that it was abandoned, and its real end, which may be proposed before that record is committed. Change: a proposed end is matched by its kind as well. Test: TestEndOfAbandonedAttemptIsCommittedFirst fails before.

--- a/dispatcher/copy_test.go
+++ b/dispatcher/copy_test.go
@@ -104,6 +104,38 @@
 	assert.Equal(t, len(r.startOrder), 1)
 }
 
+// Guards against the end of an abandoned attempt that is acknowledged before it is committed,
+// because the record that it was abandoned is committed. The task would run again if the
+// leader was lost then.
+func TestEndOfAbandonedAttemptIsCommittedFirst(t *testing.T) {
+	r := newRig(t, 24)
+	r.checks = true
+	r.addWorkers(4, 8)
+	r.run(time.Second)
+	r.submit(flow("f", copyableStep(1, 2, time.Second)))
+	r.run(300 * time.Millisecond)
+	w := r.busiest()
+	r.commitTime = 2 * time.Second
+	w.isolated = true
+	for range 300 {
+		if r.events["task copied"] > 0 {
+			break
+		}
+		r.run(tick)
+	}
+	assert.Equal(t, r.events["task copied"], 1)
+	abandonedAt := r.now
+	r.run(500 * time.Millisecond)
+	w.isolated = false
+	// The end is listed and proposed before the other record is committed.
+	r.run(abandonedAt.Add(2200 * time.Millisecond).Sub(r.now))
+	assert.Equal(t, len(w.ended), 1, "the end is acknowledged before it is committed")
+	r.commitTime = 10 * time.Millisecond
+	r.run(5 * time.Second)
+	assert.Equal(t, r.flowState("f"), modeler.FlowCompleted)
+	assert.Equal(t, len(w.ended), 0)
+}
+
 // Guards against copies of all tasks when the leader itself is isolated.
 func TestNoCopiesWhenLeaderIsIsolated(t *testing.T) {
 	r := newRig(t, 23)
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -45,9 +45,11 @@
 	account *accountant.Account
 	charge  accountant.Charge
 	// image is what the attempt runs.
-	image  modeler.ImageName
-	phase  phase
-	permit modeler.Permit
+	image modeler.ImageName
+	phase phase
+	// endKind is the proposed end of an attempt in the phase ending.
+	endKind modeler.EndKind
+	permit  modeler.Permit
 	// sentAt is when the start was last sent, and startsSent how often.
 	sentAt     modeler.ClockReading
 	startsSent int
@@ -273,6 +275,7 @@
 // attempt stays in runs if its task has no other one there.
 func (d *Dispatcher) proposeEnd(r *run, kind modeler.EndKind, checkpoint modeler.Checkpoint) {
 	r.phase = ending
+	r.endKind = kind
 	if d.runs[r.task] == nil {
 		d.runs[r.task] = r
 		if r.unit != nil {
@@ -292,6 +295,18 @@
 	return d.proposedEnds[attemptID{task, attempt}]
 }
 
+// proposedAs returns the attempt whose end is proposed as the given one, or nil. Another end of
+// the same attempt may be proposed in a later entry: that it was abandoned, and how it
+// really ended.
+func (d *Dispatcher) proposedAs(e modeler.FlowEnd) *run {
+	for _, r := range []*run{d.runs[e.Task], d.proposedEnds[attemptID{e.Task, e.Attempt}]} {
+		if r != nil && r.attempt == e.Attempt && r.phase == ending && r.endKind == e.Kind {
+			return r
+		}
+	}
+	return nil
+}
+
 // HandleProposedEnds handles the result of proposed ends: they were committed, or they
 // could not be proposed and are proposed again.
 func (d *Dispatcher) HandleProposedEnds(_ modeler.ClockReading, ends []modeler.FlowEnd, proposed bool) {
@@ -300,7 +315,7 @@
 		return
 	}
 	for _, e := range ends {
-		if r := d.proposed(e.Task, e.Attempt); r != nil {
+		if r := d.proposedAs(e); r != nil {
 			d.forgetEndedRun(r)
 		}
 	}
@@ -315,8 +330,6 @@
 			r.unit.updateWaiting(r.task.Index)
 		}
 	}
-	// Two ends of one attempt may be proposed at the same time: that it was
-	// abandoned, and how it really ended.
 	if x := (attemptID{r.task, r.attempt}); d.proposedEnds[x] == r {
 		delete(d.proposedEnds, x)
 	}
@@ -575,7 +588,7 @@
 
 // handleEnded applies a committed end.
 func (d *Dispatcher) handleEnded(now modeler.ClockReading, e modeler.FlowEnd) {
-	r := d.proposed(e.Task, e.Attempt)
+	r := d.proposedAs(e)
 	if r == nil && d.runs[e.Task] != nil && d.runs[e.Task].attempt == e.Attempt {
 		r = d.runs[e.Task]
 		d.removeRun(r)
