dispatcher: tasks that have not begun are no neighbours of others

Cause: interference took an attempt for a neighbour of the tasks beside it from the moment its start was sent, also if the start never arrived. Change: an attempt counts as a neighbour once its worker has told that it has begun it. Test: TestUnbegunTasksAreNoNeighbours fails before (a pair with an evidence of 6.5).

--- a/dispatcher/interference.go
+++ b/dispatcher/interference.go
@@ -56,7 +56,7 @@
 
 // recordDeparture keeps an attempt that ends as a neighbour of those that run on its worker.
 func (d *Dispatcher) recordDeparture(r *run) {
-	if r.image == "" || r.startedAt == 0 || d.interferenceMode(r.host.worker.Service) == interference.Off {
+	if r.image == "" || !r.hasBegun() || d.interferenceMode(r.host.worker.Service) == interference.Off {
 		return
 	}
 	r.host.departures.add(presence{image: r.image, start: r.startedAt, end: r.host.heardAt})
@@ -102,7 +102,7 @@
 	start, end := r.startedAt, r.startedAt.Add(span)
 	met := d.presences[:0]
 	for _, other := range r.host.runs {
-		if other != r && other.image != "" && other.startedAt != 0 {
+		if other != r && other.image != "" && other.hasBegun() {
 			met = appendPresence(met, r, presence{other.image, other.startedAt, end}, end)
 		}
 	}
--- a/dispatcher/interference_test.go
+++ b/dispatcher/interference_test.go
@@ -79,6 +79,25 @@
 	assert.Equal(t, acting.leader.Interference(1).Pairs, 0)
 }
 
+// Guards against tasks that count as neighbours of others although they have never begun.
+func TestUnbegunTasksAreNoNeighbours(t *testing.T) {
+	r := newImageRig(t, interference.Observe)
+	r.drops = func(task modeler.FlowTask) bool { return task.Flow[0] == 'x' }
+	for i := range 20 {
+		for _, name := range []string{"a", "x"} {
+			s := step(12, 2, time.Second)
+			s.Image = modeler.ImageName("image-" + name)
+			r.submit(flow(modeler.FlowID(fmt.Sprintf("%s%02d", name, i)), s))
+		}
+		r.run(1500 * time.Millisecond)
+		r.commit(func() { r.state.Cancel(r.stamp(), modeler.FlowID(fmt.Sprintf("x%02d", i))) })
+		r.run(2 * time.Second)
+	}
+	for _, pair := range r.leader.Interference(100).Worst {
+		assert.Check(t, pair.Beside != "image-x", "%v", pair)
+	}
+}
+
 // Guards against a placement that waits or leaves tasks out because each worker with room has a
 // task that disturbs them.
 func TestInterferenceDelaysNoTask(t *testing.T) {
--- a/dispatcher/rig_test.go
+++ b/dispatcher/rig_test.go
@@ -133,6 +133,8 @@
 	fails         func(task modeler.FlowTask, attempt modeler.Attempt) bool
 	// events counts the log lines by event.
 	events map[string]int
+	// drops tells which starts are lost on their way.
+	drops func(task modeler.FlowTask) bool
 	// delay returns how many times longer than its estimate an attempt takes.
 	delay  func(task modeler.FlowTask, attempt modeler.Attempt) int
 	paused bool
@@ -595,6 +597,8 @@
 		lost(modeler.OrderWrongWorker, networkDelay)
 	case w == nil || w.down || w.unreachable:
 		lost(modeler.OrderUnsent, networkDelay)
+	case r.drops != nil && o.Kind == modeler.StartOrder && r.drops(o.Task):
+		lost(modeler.OrderUnanswered, o.Timeout)
 	case w.isolated || chance < r.faultRates.unanswered:
 		lost(modeler.OrderUnanswered, o.Timeout)
 	case chance < r.faultRates.unanswered+r.faultRates.unsent:
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -124,6 +124,9 @@
 	throttlePending bool
 }
 
+// hasBegun reports whether the worker has told that it has begun the attempt.
+func (r *run) hasBegun() bool { return r.phase == running || r.endListed }
+
 func newGenerationState(now modeler.ClockReading) generationState {
 	return generationState{progressAt: now, share: 100}
 }
