accountant: a quota is exceeded only while no start of its account is on its way

Cause: an account that is hardly used may exceed its quota with its next task. Starts are sent side by side, so a small task that was started before a wide one can begin after it, and then exceeds the quota by more than itself. Change: the quota may be exceeded only while no start of the account is on its way. Test: TestStartsThatOvertakeEachOther fails before (8,000 millicores of 7,500).

--- a/accountant/ledger.go
+++ b/accountant/ledger.go
@@ -30,8 +30,10 @@
 	// the quota that is kept for waiting work.
 	lasting  modeler.Resources
 	reserved modeler.Resources
-	// running counts the attempts, and overage is that of the ledger.
-	running int
+	// running counts the attempts, and starting those of them that may not have begun yet;
+	// overage is that of the ledger.
+	running  int
+	starting int
 	overage float64
 	// virtualTime orders the accounts for fair sharing, see FairShare.
 	virtualTime VirtualTime
@@ -128,6 +130,23 @@
 	a.running--
 }
 
+// Starting returns the number of attempts that may not have begun yet.
+func (a *Account) Starting() int { return a.starting }
+
+// AddStarting counts an attempt that may not have begun yet.
+func (a *Account) AddStarting() {
+	if a != nil {
+		a.starting++
+	}
+}
+
+// EndStarting ends the count of an attempt that has begun or was removed.
+func (a *Account) EndStarting() {
+	if a != nil {
+		a.starting--
+	}
+}
+
 // Idle returns the account as it is while nothing of it runs.
 func (a *Account) Idle() *Account {
 	if a == nil {
@@ -162,10 +181,15 @@
 	return a == nil || a.used.Times(quotaDivisor).Fits(a.Team.Quota)
 }
 
+// mayExceed reports whether the account may exceed its quota with its next task or gang.
+// Starts may overtake each other, and a smaller task that began after a larger one would
+// exceed the quota by more than itself, so no other start may be on its way.
+func (a *Account) mayExceed() bool { return a.starting == 0 && a.IsHardlyUsed() }
+
 // AdmitsTask reports whether a task may start: it fits into the quota, or the account is
 // hardly used.
 func (a *Account) AdmitsTask(need modeler.Resources) bool {
-	return a == nil || a.fits(need, 1, a.Team.Quota) || a.IsHardlyUsed()
+	return a == nil || a.fits(need, 1, a.Team.Quota) || a.mayExceed()
 }
 
 // AdmitsGang reports whether all members of a gang may start: they fit into the quota,
@@ -173,7 +197,7 @@
 // than one member.
 func (a *Account) AdmitsGang(need modeler.Resources, members int) bool {
 	return a == nil || a.fits(need, members, a.Team.Quota) ||
-		a.IsHardlyUsed() && a.fits(need, members-1, a.quotaWithOverage())
+		a.mayExceed() && a.fits(need, members-1, a.quotaWithOverage())
 }
 
 // TasksWithin returns how many tasks fit into what is left of the quota.
--- a/dispatcher/account_test.go
+++ b/dispatcher/account_test.go
@@ -54,21 +54,27 @@
 	if team == "" {
 		return
 	}
-	var used, largest modeler.Millicores
+	var used, task, largest modeler.Millicores
 	for _, w := range r.workers {
-		for _, j := range w.running {
+		for id, j := range w.running {
 			if j.team == team {
 				used += j.charge.Processors
 				largest = max(largest, j.charge.Processors)
 			}
+			if id == started {
+				task = max(task, j.charge.Processors)
+			}
 		}
 	}
+	if r.executingLateOrder {
+		task = largest
+	}
 	quotas := r.quotas[team]
 	allowed := quotas[len(quotas)-1].quota.Processors
 	for i := len(quotas) - 1; i > 0 && r.now.Sub(quotas[i].at) < latestStart; i-- {
 		allowed = max(allowed, quotas[i-1].quota.Processors)
 	}
-	if bound := allowed + allowed/10 + largest; used > bound {
+	if bound := allowed + allowed/10 + task; used > bound {
 		r.t.Errorf("%v: the account %s runs %d millicores of %d after the start of %v", time.Duration(r.now), team, used, bound, started)
 	}
 }
@@ -313,3 +319,27 @@
 	lines := slices.DeleteFunc(slices.Clone(r.startOrder), func(task modeler.FlowTask) bool { return task.Flow == "f000" })
 	assert.Equal(t, len(lines), 2)
 }
+
+// Guards against an account beyond its quota because a wide task, which it may start although
+// it needs more than the quota, begins before a smaller one that was started with it.
+func TestStartsThatOvertakeEachOther(t *testing.T) {
+	r := newRig(t, 6)
+	r.checks = true
+	r.addWorkers(2, 8)
+	r.setAccounts(account("a", 5))
+	r.run(time.Second)
+	r.delayStart = func(task modeler.FlowTask) time.Duration {
+		if task.Flow == "small" {
+			return 100 * time.Millisecond
+		}
+		return 0
+	}
+	r.submitFor("a", false, flow("small", step(1, 2, time.Second)))
+	r.submitFor("a", false, flow("wide", step(1, 6, time.Second)))
+	r.run(300 * time.Millisecond)
+	assert.Equal(t, r.starts[modeler.FlowTask{Flow: "small"}], 1)
+	assert.Equal(t, r.starts[modeler.FlowTask{Flow: "wide"}], 1, "the wide task waits although half of the quota is free")
+	r.run(2 * time.Second)
+	assert.Equal(t, r.flowState("wide"), modeler.FlowCompleted)
+	assert.Equal(t, r.usedBy("a").Running, 0)
+}
--- a/dispatcher/check.go
+++ b/dispatcher/check.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rotisserie/eris"
 
+	"goldcreststack.example/goldcreststack/accountant"
 	"goldcreststack.example/goldcreststack/modeler"
 	"goldcreststack.example/goldcreststack/sequencer"
 )
@@ -20,22 +21,47 @@
 			return err
 		}
 	}
+	err := d.checkStarts()
+	d.state.ForEachFlow(func(f *sequencer.Flow) {
+		if err == nil {
+			err = d.checkAttempts(f)
+		}
+	})
+	return err
+}
+
+// checkStarts checks the counts of attempts that may not have begun yet.
+func (d *Dispatcher) checkStarts() error {
 	proposed := 0
+	starting := make(map[*accountant.Account]int)
+	count := func(r *run) {
+		if r.phase < running {
+			starting[r.account]++
+		}
+	}
 	for _, r := range d.runs {
 		if r.phase == committing {
 			proposed++
 		}
+		// A proposed start stays with a host that has gone.
+		if r.host.runs[r.task] == r && d.hosts[r.host.worker.ID] != r.host {
+			count(r)
+		}
+	}
+	for _, h := range d.hostList {
+		for _, r := range h.runs {
+			count(r)
+		}
 	}
 	if proposed != d.committing {
 		return eris.Errorf("%d starts are counted as proposed, there are %d", d.committing, proposed)
 	}
-	var err error
-	d.state.ForEachFlow(func(f *sequencer.Flow) {
-		if err == nil {
-			err = d.checkAttempts(f)
+	for _, a := range d.ledger.Accounts() {
+		if a.Starting() != starting[a] {
+			return eris.Errorf("account %s: %d attempts are counted as starting, there are %d", a.Team.Name, a.Starting(), starting[a])
 		}
-	})
-	return err
+	}
+	return nil
 }
 
 // checkUnit checks that a scheduled step belongs to a flow that is not over, and that its
--- a/dispatcher/rig_test.go
+++ b/dispatcher/rig_test.go
@@ -133,6 +133,8 @@
 	fails         func(task modeler.FlowTask, attempt modeler.Attempt) bool
 	// events counts the log lines by event.
 	events map[string]int
+	// delayStart tells how much later than others a start arrives.
+	delayStart func(task modeler.FlowTask) time.Duration
 	// drops tells which starts are lost on their way.
 	drops func(task modeler.FlowTask) bool
 	// delay returns how many times longer than its estimate an attempt takes.
@@ -636,7 +638,11 @@
 			}
 			r.schedule(networkDelay, func() { answer(a) })
 		}
-		r.schedule(networkDelay+r.orderDelay, deliver)
+		delay := networkDelay + r.orderDelay
+		if r.delayStart != nil && o.Kind == modeler.StartOrder {
+			delay += r.delayStart(o.Task)
+		}
+		r.schedule(delay, deliver)
 	}
 }
 
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -170,6 +170,9 @@
 	h.runs[r.task] = r
 	h.used = h.used.Add(r.need)
 	r.account.Add(r.charge)
+	if p != running {
+		r.account.AddStarting()
+	}
 	d.runs[r.task] = r
 	if r.unit != nil {
 		r.unit.countRun(h, 1)
@@ -214,6 +217,9 @@
 		d.recordDeparture(r)
 		r.host.used = r.host.used.Sub(r.need)
 		r.account.Remove(r.charge)
+		if r.phase < running {
+			r.account.EndStarting()
+		}
 		if r.unsized {
 			r.host.unsized--
 		}
@@ -403,6 +409,9 @@
 // markRunning records that the worker runs the attempt.
 func (d *Dispatcher) markRunning(now modeler.ClockReading, r *run) {
 	r.predatesLeader = r.phase == restored
+	if r.phase < running {
+		r.account.EndStarting()
+	}
 	r.phase = running
 	r.startedAt = now
 	r.progressAt = now
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -93,6 +93,12 @@
 // at once, and workers that are silent for longer than their lease.
 var keptCopies = []uint64{1, 2, 3, 4}
 
+// keptCopiesOfAccounts are seeds like keptCopies with client accounts.
+var keptCopiesOfAccounts = []uint64{
+	// A small task began after a wide one that may exceed the quota of their account.
+	4051144077,
+}
+
 // keptAccounts are seeds with client accounts, whose keys and quotas change.
 var keptAccounts = []uint64{1, 3}
 
@@ -248,7 +254,11 @@
 // Guards against a process that ends when several attempts of a job end at once, and against
 // jobs that are shown as running, and not counted as queued, before a worker has begun them.
 func TestSoakCopies(t *testing.T) {
-	newSoak(t).run(t, copying, *length, keptCopies...)
+	soak := newSoak(t)
+	soak.run(t, copying, *length, keptCopies...)
+	ofAccounts := *soak
+	ofAccounts.accounts = true
+	ofAccounts.run(t, copying, *length, keptCopiesOfAccounts...)
 }
 
 // Guards against calls that succeed with a key that was revoked or never valid, tasks that
