--- a/accountant/ledger.go
+++ b/accountant/ledger.go
@@ -34,7 +34,7 @@
 	// overage is that of the ledger.
 	running  int
 	starting int
-	overage float64
+	overage  float64
 	// virtualTime orders the accounts for fair sharing, see FairShare.
 	virtualTime VirtualTime
 }
--- a/sequencer/silence.go
+++ b/sequencer/silence.go
@@ -19,12 +19,11 @@
 	}
 }
 
-// RecordReturns records that workers answer again.
+// RecordReturns records that workers answer again. The change tells the leader also if the
+// record of the silence was lost.
 func (s *Sequencer) RecordReturns(ids []modeler.WorkerID) {
 	for _, id := range ids {
-		if _, isHeld := s.silences[id]; isHeld {
-			delete(s.silences, id)
-		}
+		delete(s.silences, id)
 		s.recordChange(Change{Kind: WorkerReturned, Worker: id})
 	}
 }
