--- a/controller/report.go
+++ b/controller/report.go
@@ -110,6 +110,8 @@
 	Workers      []allocator.WorkerStatus  `json:"workers"`
 	Placement    any                       `json:"placement,omitempty"`
 	Flows        any                       `json:"flows,omitempty"`
+	// Contradiction tells where the leader's memory of flows differs from the replicated state.
+	Contradiction string `json:"contradiction,omitempty"`
 }
 
 // lostElectionView is an election that the member has not won; the voters are
@@ -178,6 +180,9 @@
 		v.Placement = c.leader.cell.Stats()
 		if c.leader.flows != nil {
 			v.Flows = c.leader.flows.cell.Stats(now)
+			if err := c.leader.flows.cell.Check(); err != nil {
+				v.Contradiction = err.Error()
+			}
 		}
 	}
 	return v
